--- a/internal/traffic/gateway/exchange.go
+++ b/internal/traffic/gateway/exchange.go
@@ -19,6 +19,7 @@
 	"chestnutbay.dev/chestnutbay/internal/contract/contract"
 	"chestnutbay.dev/chestnutbay/internal/report/burn"
 	"chestnutbay.dev/chestnutbay/internal/report/event"
+	"chestnutbay.dev/chestnutbay/internal/traffic/message"
 	"chestnutbay.dev/chestnutbay/internal/traffic/transport"
 )
 
@@ -50,7 +51,7 @@
 	cancels  []func()
 	deadline time.Time
 	header   http.Header
-	body     *callerBody
+	body     *message.Body
 	memory   *[]byte // holds a small body
 	length   int     // of the small body
 
@@ -61,7 +62,7 @@
 
 func newExchange(g *Gateway, w http.ResponseWriter, r *http.Request) *exchange {
 	x := &exchange{g: g, w: w, r: r, rc: http.NewResponseController(w), id: newIdentity(), start: time.Now(), ctx: r.Context()}
-	x.body = &callerBody{src: r.Body, rc: x.rc, idle: g.config.Idle, whole: r.ContentLength == 0}
+	x.body = message.NewBody(r, x.rc, g.config.Idle)
 	h := w.Header()
 	h.Set(RequestHeader, x.id)
 	if g.flight.leaving() {
@@ -97,8 +98,8 @@
 
 // check finds out what the request may do. It returns why it is refused, or nil.
 func (x *exchange) check() *Failure {
-	if f := refusedHead(x.r.Header, x.g.secret); f != nil {
-		return f
+	if err := message.RefusedHead(x.r.Header, x.g.secret); err != nil {
+		return badRequest(err.Status(), err.Reason())
 	}
 	if f := x.checkForm(); f != nil {
 		return f
@@ -124,7 +125,7 @@
 	if x.r.Method == http.MethodConnect {
 		return badRequest(http.StatusNotImplemented, "CONNECT is not supported")
 	}
-	if x.r.Header["Upgrade"] != nil || hasToken(x.r.Header, "Connection", "upgrade") {
+	if x.r.Header["Upgrade"] != nil || message.HasToken(x.r.Header, "Connection", "upgrade") {
 		return badRequest(http.StatusNotImplemented, "protocol upgrades are not supported")
 	}
 	address := x.r.Method + " " + x.r.Host + " " + x.r.RequestURI
@@ -247,7 +248,7 @@
 	x.memory = memoryBodies.Get().(*[]byte)
 	x.length = int(x.r.ContentLength)
 	// A caller that sends slowly has until its deadline.
-	x.body.idle = min(x.body.idle, time.Until(x.deadline))
+	x.body.LimitIdle(time.Until(x.deadline))
 	if _, err := io.ReadFull(x.body, (*x.memory)[:x.length]); err != nil {
 		return broken(err, NotRun)
 	}
@@ -280,7 +281,7 @@
 	x.rc.EnableFullDuplex() //nolint:errcheck // HTTP/2 is always full duplex.
 	out.ContentLength = x.r.ContentLength
 	out.Body = x.body
-	if hasToken(x.r.Header, "Expect", "100-continue") {
+	if message.HasToken(x.r.Header, "Expect", "100-continue") {
 		out.Header["Expect"] = []string{"100-continue"}
 	}
 	if out.ContentLength >= 0 {
@@ -295,19 +296,19 @@
 	for _, name := range names {
 		out.Trailer[name] = nil
 	}
-	x.body.trailer = func() {
+	x.body.AtEnd(func() {
 		for _, name := range names {
 			values := x.r.Trailer[name]
 			if !slices.ContainsFunc(values, func(v string) bool { return carriesKey(name, v, x.keys) }) {
 				out.Trailer[name] = values
 			}
 		}
-	}
+	})
 }
 
 // replayable reports whether the body can still be sent whole.
 func (x *exchange) replayable() bool {
-	return x.r.ContentLength == 0 || x.memory != nil || x.body.untouched()
+	return x.r.ContentLength == 0 || x.memory != nil || x.body.Untouched()
 }
 
 // refuse answers with the fleet's own error.
@@ -315,9 +316,9 @@
 	f.Request = x.id
 	x.verdict = f.verdict
 	x.report(f.Status, f.Outcome, f.Reason)
-	if x.body.unread() {
+	if x.body.Unread() {
 		x.w.Header().Set("Connection", "close")
-		x.body.linger()
+		x.body.Linger()
 	}
 	x.extendWrite()
 	f.write(x.w)
--- a/internal/traffic/gateway/forward.go
+++ b/internal/traffic/gateway/forward.go
@@ -175,7 +175,7 @@
 		MaxIdle:       x.g.maxIdle(x.service),
 		Repeatable:    x.route.Idempotent(x.r.Method) && x.replayable(),
 		Informational: informational,
-		Interrupt:     x.body.interrupt,
+		Interrupt:     x.body.Interrupt,
 	})
 	if !s.answered() {
 		return s
--- a/internal/traffic/gateway/gateway.go
+++ b/internal/traffic/gateway/gateway.go
@@ -35,6 +35,7 @@
 	"chestnutbay.dev/chestnutbay/internal/report/burn"
 	"chestnutbay.dev/chestnutbay/internal/report/event"
 	"chestnutbay.dev/chestnutbay/internal/target/pool"
+	"chestnutbay.dev/chestnutbay/internal/traffic/message"
 	"chestnutbay.dev/chestnutbay/internal/traffic/retry"
 	"chestnutbay.dev/chestnutbay/internal/traffic/transport"
 )
@@ -108,7 +109,7 @@
 		transport: transport.New(c.Transport),
 		failures:  failures{ring: c.Events},
 		logger:    c.Logger.With(zap.String("node", c.Node)),
-		secret:    newSecret(),
+		secret:    message.NewSecret(),
 	}
 }
 
--- a/internal/traffic/gateway/header.go
+++ b/internal/traffic/gateway/header.go
@@ -9,6 +9,8 @@
 	"net/textproto"
 	"slices"
 	"strings"
+
+	"chestnutbay.dev/chestnutbay/internal/traffic/message"
 )
 
 // Headers between callers, the fleet and targets.
@@ -37,81 +39,14 @@
 	// identityBytes is the length of a request's identity. 96 bits do not collide
 	// at 120,000 requests/s within the hours that an operator looks back.
 	identityBytes = 12
-	// secretBytes is the length of the mark on refused requests.
-	secretBytes = 16
 )
 
-// hopByHop are headers that are meant for one connection only, and those that
-// net/http sets itself.
-var hopByHop = map[string]bool{
-	"Connection":          true,
-	"Keep-Alive":          true,
-	"Proxy-Connection":    true,
-	"Proxy-Authenticate":  true,
-	"Proxy-Authorization": true,
-	"Te":                  true,
-	"Trailer":             true,
-	"Transfer-Encoding":   true,
-	"Upgrade":             true,
-	"Http2-Settings":      true,
-}
-
 func newIdentity() string {
 	var b [identityBytes]byte
 	rand.Read(b[:]) //nolint:errcheck // crypto/rand.Read never fails.
 	return hex.EncodeToString(b[:])
 }
 
-func newSecret() string {
-	var b [secretBytes]byte
-	rand.Read(b[:]) //nolint:errcheck // crypto/rand.Read never fails.
-	return hex.EncodeToString(b[:])
-}
-
-// canonical returns the name under which a lenient target may read a header:
-// CGI does not tell an underscore from a dash.
-func canonical(name string) string {
-	if strings.IndexByte(name, '_') < 0 {
-		return name
-	}
-	return textproto.CanonicalMIMEHeaderKey(strings.ReplaceAll(name, "_", "-"))
-}
-
-// endToEnd reports whether a header may pass from one side to the other.
-func endToEnd(name string, named []string) bool {
-	c := canonical(name)
-	if hopByHop[c] || strings.HasPrefix(c, reservedPrefix) {
-		return false
-	}
-	if c != name && (c == "Content-Length" || c == "Host" || c == "Authorization") {
-		return false
-	}
-	return !slices.Contains(named, name)
-}
-
-// connectionNames returns the headers that the Connection header names.
-func connectionNames(h http.Header) []string {
-	var names []string
-	for _, v := range h["Connection"] {
-		for name := range strings.SplitSeq(v, ",") {
-			names = append(names, textproto.CanonicalMIMEHeaderKey(textproto.TrimString(name)))
-		}
-	}
-	return names
-}
-
-func hasToken(h http.Header, name, token string) bool {
-	for _, v := range h[name] {
-		for part := range strings.SplitSeq(v, ",") {
-			part, _, _ = strings.Cut(part, ";")
-			if strings.EqualFold(textproto.TrimString(part), token) {
-				return true
-			}
-		}
-	}
-	return false
-}
-
 // presentedKeys returns the distinct keys that a request shows.
 func presentedKeys(h http.Header) []string {
 	var keys []string
@@ -121,7 +56,7 @@
 		}
 	}
 	for _, v := range h["Authorization"] {
-		if key, ok := bearer(v); ok {
+		if key, ok := message.Bearer(v); ok {
 			add(key)
 		}
 	}
@@ -131,19 +66,6 @@
 	return keys
 }
 
-// bearer returns the token of an Authorization value of that scheme.
-func bearer(v string) (string, bool) {
-	v = textproto.TrimString(v)
-	if len(v) < len(bearerScheme) || !strings.EqualFold(v[:len(bearerScheme)], bearerScheme) {
-		return "", false
-	}
-	token := v[len(bearerScheme):]
-	if token != "" && token[0] != ' ' && token[0] != '\t' {
-		return "", false
-	}
-	return textproto.TrimString(token), true
-}
-
 // carriesKey reports whether a header value shows a key in any form. A lenient
 // target may read "Bearer" without a space after it, too.
 func carriesKey(name, value string, keys []string) bool {
@@ -167,9 +89,15 @@
 	return false
 }
 
+// endToEnd reports whether a header may pass from one side to the other. The
+// fleet's own headers never do.
+func endToEnd(name string, named []string) bool {
+	return message.EndToEnd(name, named) && !strings.HasPrefix(message.Canonical(name), reservedPrefix)
+}
+
 // towardsTarget returns the headers that go out with a request.
 func towardsTarget(r *http.Request, keys []string) http.Header {
-	named := connectionNames(r.Header)
+	named := message.ConnectionNames(r.Header)
 	out := make(http.Header, len(r.Header)+5)
 	for name, values := range r.Header {
 		if !endToEnd(name, named) {
@@ -182,7 +110,7 @@
 			out[name] = values
 		}
 	}
-	if hasToken(r.Header, "Te", "trailers") {
+	if message.HasToken(r.Header, "Te", "trailers") {
 		out["Te"] = []string{"trailers"}
 	}
 	if out["User-Agent"] == nil {
@@ -198,7 +126,7 @@
 
 // towardsCaller copies the headers of an answer that callers may see.
 func towardsCaller(dst, src http.Header) {
-	named := connectionNames(src)
+	named := message.ConnectionNames(src)
 	for name, values := range src {
 		if endToEnd(name, named) {
 			dst[name] = values
--- a/internal/traffic/gateway/relay.go
+++ b/internal/traffic/gateway/relay.go
@@ -9,6 +9,7 @@
 	"sync"
 
 	"chestnutbay.dev/chestnutbay/internal/report/burn"
+	"chestnutbay.dev/chestnutbay/internal/traffic/message"
 )
 
 // copyBytes is the size of the pieces in which an answer is passed on.
@@ -62,7 +63,7 @@
 	}
 	s.drop()
 	if target != nil || caller != nil {
-		abort(x.rc)
+		message.Abort(x.rc)
 	}
 }
 
@@ -96,11 +97,11 @@
 	for _, name := range trailerNames(resp.Trailer) {
 		h.Add("Trailer", name)
 	}
-	if x.body.unread() {
+	if x.body.Unread() {
 		// What the caller still sends must not be taken for a request.
 		h.Set("Connection", "close")
-		if x.body.untouched() {
-			x.body.linger()
+		if x.body.Untouched() {
+			x.body.Linger()
 		}
 	}
 	x.extendWrite()
--- a/internal/traffic/gateway/server.go
+++ b/internal/traffic/gateway/server.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"go.uber.org/zap"
+
+	"chestnutbay.dev/chestnutbay/internal/traffic/message"
 )
 
 // Limits on callers' connections.
@@ -52,7 +54,7 @@
 // Serve accepts connections until Shutdown or Close. It then returns
 // http.ErrServerClosed.
 func (s *Server) Serve(l net.Listener) error {
-	return s.http.Serve(&framedListener{Listener: l, secret: s.gateway.secret, maxHead: MaxHeaderBytes})
+	return s.http.Serve(message.NewListener(l, s.gateway.secret, func() int { return MaxHeaderBytes }))
 }
 
 // Shutdown closes the listeners and the idle connections, and waits for the
--- a/internal/traffic/gateway/chunk.go
+++ b/internal/traffic/message/chunk.go
@@ -1,4 +1,4 @@
-package gateway
+package message
 
 const (
 	// maxChunkDigits bounds a chunk's size to what fits into 60 bits.
--- a/internal/traffic/gateway/framing.go
+++ b/internal/traffic/message/framing.go
@@ -1,4 +1,19 @@
-package gateway
+// Package message handles HTTP/1.1 messages on the callers' side: it refuses
+// ambiguous framing before net/http resolves the ambiguity, reads bodies that make
+// progress, tells end-to-end headers from those of one connection, and breaks a
+// transfer so that it does not pass for a whole one.
+//
+// # Usage
+//
+//	secret := message.NewSecret()
+//	listener := message.NewListener(l, secret, func() int { return 64 << 10 })
+//	// in the handler of a server on that listener:
+//	if err := message.RefusedHead(r.Header, secret); err != nil {
+//		http.Error(w, err.Reason(), err.Status())
+//		return
+//	}
+//	body := message.NewBody(r, http.NewResponseController(w), time.Minute)
+package message
 
 import (
 	"bytes"
@@ -26,42 +41,54 @@
 	framingBuffer = 4 << 10
 )
 
-// framingError says what is ambiguous or malformed in a request.
-type framingError struct {
+// FramingError says what is ambiguous or malformed in a request.
+type FramingError struct {
 	status int
 	reason string
 }
 
+// Status returns the HTTP status of the refusal.
+func (e *FramingError) Status() int { return e.status }
+
+// Reason says what is wrong, in a few words.
+func (e *FramingError) Reason() string { return e.reason }
+
 // Error gives the reason.
-func (e *framingError) Error() string { return "gateway: " + e.reason }
+func (e *FramingError) Error() string { return "message: " + e.reason }
 
-func malformed(reason string) *framingError {
-	return &framingError{status: http.StatusBadRequest, reason: reason}
+func malformed(reason string) *FramingError {
+	return &FramingError{status: http.StatusBadRequest, reason: reason}
 }
 
-var errRefusedBefore = merry.Sentinel("gateway: the connection carried a malformed request")
+var errRefusedBefore = merry.Sentinel("message: the connection carried a malformed request")
 
-// framedListener checks the framing of what its connections carry.
-type framedListener struct {
+// Listener checks the framing of what its connections carry.
+type Listener struct {
 	net.Listener
 	secret  string
-	maxHead int
+	maxHead func() int
+}
+
+// NewListener returns a listener that refuses heads of more than maxHead bytes.
+// The secret marks the stand-ins for refused requests; see RefusedHead.
+func NewListener(l net.Listener, secret string, maxHead func() int) *Listener {
+	return &Listener{Listener: l, secret: secret, maxHead: maxHead}
 }
 
 // Accept returns the next connection.
-func (l *framedListener) Accept() (net.Conn, error) {
+func (l *Listener) Accept() (net.Conn, error) {
 	c, err := l.Listener.Accept()
 	if err != nil {
 		return nil, err
 	}
-	return &framedConn{Conn: c, secret: l.secret, maxHead: l.maxHead}, nil
+	return &framedConn{Conn: c, secret: l.secret, maxHead: l.maxHead()}, nil
 }
 
 // framedConn hands over one request at a time, and only after its head has been
 // checked. net/http resolves some ambiguities in silence, for example both a
 // Content-Length and a Transfer-Encoding, and answers others without our
 // headers. Instead of a refused head the connection hands over a well-formed
-// request that the Gateway knows and refuses, so that the refusal comes after the
+// request that the handler knows and refuses, so that the refusal comes after the
 // answers to earlier requests.
 type framedConn struct {
 	net.Conn
@@ -246,7 +273,7 @@
 }
 
 // refuse puts the stand-in in the place of the head. Nothing after it is read.
-func (c *framedConn) refuse(e *framingError) {
+func (c *framedConn) refuse(e *FramingError) {
 	c.raw = fmt.Appendf(nil, "GET / HTTP/1.1\r\nHost: refused\r\nConnection: close\r\n%s: %s %d %s\r\n\r\n",
 		refusedHeader, c.secret, e.status, e.reason)
 	c.ready = len(c.raw)
@@ -254,8 +281,8 @@
 	c.err = errRefusedBefore
 }
 
-// refusedHead returns the failure that a stand-in stands for, or nil.
-func refusedHead(h http.Header, secret string) *Failure {
+// RefusedHead returns the error that a stand-in stands for, or nil.
+func RefusedHead(h http.Header, secret string) *FramingError {
 	rest, ok := strings.CutPrefix(h.Get(refusedHeader), secret+" ")
 	if !ok {
 		return nil
@@ -265,12 +292,12 @@
 	if err != nil {
 		return nil
 	}
-	return badRequest(status, reason)
+	return &FramingError{status: status, reason: reason}
 }
 
 // headEnd returns the length of the head with its empty line, or 0 when it is
 // not there yet. The first seen bytes were searched before.
-func headEnd(raw []byte, seen, limit int) (int, *framingError) {
+func headEnd(raw []byte, seen, limit int) (int, *FramingError) {
 	const empty = "\r\n\r\n"
 	head := raw
 	from := max(seen-len(empty)+1, 0)
@@ -280,7 +307,7 @@
 		head = raw[:end]
 	}
 	if len(head) > limit {
-		return 0, &framingError{status: http.StatusRequestHeaderFieldsTooLarge, reason: "the request's head is too large"}
+		return 0, &FramingError{status: http.StatusRequestHeaderFieldsTooLarge, reason: "the request's head is too large"}
 	}
 	for i := seen; i < len(head); i++ {
 		if head[i] == '\n' && (i == 0 || head[i-1] != '\r') {
@@ -307,7 +334,7 @@
 }
 
 // checkHead accepts only heads that every parser reads in one way.
-func checkHead(raw []byte) (framing, *framingError) {
+func checkHead(raw []byte) (framing, *FramingError) {
 	lines := strings.Split(string(raw[:len(raw)-4]), "\r\n")
 	h, err := parseRequestLine(lines[0])
 	if err != nil {
@@ -324,7 +351,7 @@
 	return h.framing()
 }
 
-func parseRequestLine(line string) (*head, *framingError) {
+func parseRequestLine(line string) (*head, *FramingError) {
 	parts := strings.Split(line, " ")
 	if len(parts) != 3 || !isToken(parts[0]) || parts[1] == "" {
 		return nil, malformed("malformed request line")
@@ -335,10 +362,10 @@
 		h.minor = 1
 	case "HTTP/1.0":
 	default:
-		return nil, &framingError{status: http.StatusHTTPVersionNotSupported, reason: "only HTTP/1.0 and HTTP/1.1 are supported"}
+		return nil, &FramingError{status: http.StatusHTTPVersionNotSupported, reason: "only HTTP/1.0 and HTTP/1.1 are supported"}
 	}
 	if h.method == http.MethodConnect {
-		return nil, &framingError{status: http.StatusNotImplemented, reason: "CONNECT is not supported"}
+		return nil, &FramingError{status: http.StatusNotImplemented, reason: "CONNECT is not supported"}
 	}
 	for i := range len(h.target) {
 		if b := h.target[i]; b <= ' ' || b >= 0x7f {
@@ -352,7 +379,7 @@
 }
 
 // field checks one header line.
-func (h *head) field(line string) *framingError {
+func (h *head) field(line string) *FramingError {
 	if line != "" && (line[0] == ' ' || line[0] == '\t') {
 		return malformed("a header is folded over several lines")
 	}
@@ -373,14 +400,14 @@
 		h.codings = append(h.codings, value)
 	case strings.EqualFold(name, "Expect"):
 		if !strings.EqualFold(value, "100-continue") {
-			return &framingError{status: http.StatusExpectationFailed, reason: "unknown expectation"}
+			return &FramingError{status: http.StatusExpectationFailed, reason: "unknown expectation"}
 		}
 	}
 	return nil
 }
 
 // checkHost wants one host, and the same in an absolute target.
-func (h *head) checkHost() *framingError {
+func (h *head) checkHost() *FramingError {
 	if len(h.hosts) > 1 || (len(h.hosts) == 0 && h.minor == 1) {
 		return malformed("a request needs exactly one Host header")
 	}
@@ -409,7 +436,7 @@
 }
 
 // framing decides how the body is delimited.
-func (h *head) framing() (framing, *framingError) {
+func (h *head) framing() (framing, *FramingError) {
 	if len(h.lengths) > 0 && len(h.codings) > 0 {
 		return framing{}, malformed("both Content-Length and Transfer-Encoding")
 	}
@@ -432,12 +459,12 @@
 	return framing{length: n}, nil
 }
 
-func (h *head) coding() (framing, *framingError) {
+func (h *head) coding() (framing, *FramingError) {
 	if h.minor == 0 {
 		return framing{}, malformed("Transfer-Encoding in HTTP/1.0")
 	}
 	if !strings.EqualFold(h.codings[0], "chunked") {
-		return framing{}, &framingError{status: http.StatusNotImplemented, reason: "only the transfer encoding chunked is supported"}
+		return framing{}, &FramingError{status: http.StatusNotImplemented, reason: "only the transfer encoding chunked is supported"}
 	}
 	return framing{chunked: true}, nil
 }
