--- a/cmd/chestnutbay/main.go
+++ b/cmd/chestnutbay/main.go
@@ -12,6 +12,7 @@
 	"chestnutbay.dev/chestnutbay/internal/base/settings"
 	"chestnutbay.dev/chestnutbay/internal/command/cli"
 	"chestnutbay.dev/chestnutbay/internal/fleet/node"
+	"chestnutbay.dev/chestnutbay/platform"
 
 	// The plug-ins that this program ships register themselves.
 	_ "chestnutbay.dev/chestnutbay/internal/platform/memorylog"
@@ -24,6 +25,7 @@
 	os.Exit(cli.Main(cli.Environment{
 		Arguments: os.Args[1:],
 		Run:       run,
+		Entry:     platform.Run,
 		Version:   version(),
 		Stdout:    os.Stdout,
 		Stderr:    os.Stderr,
--- a/internal/command/cli/cli.go
+++ b/internal/command/cli/cli.go
@@ -43,6 +43,8 @@
 	Arguments []string
 	// Run runs a node.
 	Run Run
+	// Entry runs an entry VM on the users' platform, with log lines to the writer.
+	Entry func(ctx context.Context, log io.Writer) error
 	// Version is printed by "version".
 	Version string
 	Stdout  io.Writer
@@ -52,6 +54,7 @@
 // root is the grammar of the command line.
 type root struct {
 	Serve       serveCommand       `cmd:"" help:"Run an entry node of the fleet."`
+	Entry       entryCommand       `cmd:"" help:"Run an entry VM on the users' platform."`
 	Dev         devCommand         `cmd:"" help:"Run a fleet of one node with a target on this machine, to try it out."`
 	Check       checkCommand       `cmd:"" help:"Check settings and documents without starting anything."`
 	Publish     publishCommand     `cmd:"" help:"Publish a client account's contract or a service."`
--- /dev/null
+++ b/internal/fleet/entry/control.go
@@ -0,0 +1,177 @@
+package entry
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"net"
+	"net/netip"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+	"github.com/sourcegraph/jsonrpc2"
+	"go.uber.org/zap"
+	"golang.org/x/sync/errgroup"
+
+	"chestnutbay.dev/chestnutbay/internal/fleet/feed"
+	"chestnutbay.dev/chestnutbay/internal/fleet/gossip"
+)
+
+const (
+	// stateMethod asks a VM for all it holds of a topic.
+	stateMethod = "feed.state"
+	// controlTimeout bounds the time that a connection between VMs may be silent.
+	controlTimeout = 2 * time.Second
+	// askTimeout bounds the time to get another VM's state.
+	askTimeout = 400 * time.Millisecond
+	// maxAsked bounds the VMs that are asked one after the other.
+	maxAsked = 3
+	// maxControlConns bounds the connections of other VMs at a time.
+	maxControlConns = 64
+	// registerPeriod is how often a VM checks that the store lists it and who else
+	// is listed.
+	registerPeriod = time.Minute
+	// registerRetry is the time between two failed checks.
+	registerRetry = time.Second
+)
+
+var (
+	errNotLoaded = merry.Sentinel("entry: this VM holds nothing yet")
+	errNoVM      = merry.Sentinel("entry: no other VM answered")
+)
+
+type stateParams struct {
+	Topic feed.Topic `json:"topic"`
+}
+
+// serveControl answers other VMs.
+func (v *VM) serveControl(ctx context.Context) error {
+	group, ctx := errgroup.WithContext(ctx)
+	group.SetLimit(maxControlConns)
+	group.Go(func() error {
+		<-ctx.Done()
+		return v.control.Close()
+	})
+	for {
+		conn, err := v.control.Accept()
+		if ctx.Err() != nil || errors.Is(err, net.ErrClosed) {
+			return group.Wait()
+		}
+		if err != nil {
+			v.config.Logger.Warn("connection of another VM failed", zap.Error(err))
+			continue
+		}
+		group.Go(func() error {
+			v.answer(ctx, conn)
+			return nil
+		})
+	}
+}
+
+// answer serves one connection of another VM, which carries one call.
+func (v *VM) answer(ctx context.Context, conn net.Conn) {
+	conn.SetDeadline(time.Now().Add(controlTimeout)) //nolint:errcheck // A broken connection fails at its next use.
+	rpc := jsonrpc2.NewConn(ctx, jsonrpc2.NewPlainObjectStream(conn), jsonrpc2.HandlerWithError(
+		func(_ context.Context, _ *jsonrpc2.Conn, r *jsonrpc2.Request) (any, error) { return v.call(r) }))
+	select {
+	case <-rpc.DisconnectNotify():
+	case <-ctx.Done():
+		rpc.Close()
+	}
+}
+
+func (v *VM) call(r *jsonrpc2.Request) (any, error) {
+	if r.Method != stateMethod || r.Params == nil {
+		return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeMethodNotFound, Message: "unknown method " + r.Method}
+	}
+	var p stateParams
+	if err := json.Unmarshal(*r.Params, &p); err != nil || p.Topic < feed.Configuration || p.Topic > feed.Instances {
+		return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeInvalidParams, Message: "malformed parameters"}
+	}
+	s, ok := v.feed.State(p.Topic)
+	if !ok {
+		return nil, errNotLoaded
+	}
+	return s, nil
+}
+
+// State asks other VMs for all they hold of a topic, those of the own zone first.
+func (v *VM) State(ctx context.Context, t feed.Topic) (feed.State, error) {
+	var list []netip.AddrPort
+	for _, m := range v.gossip.Present() {
+		list = append(list, m.Address)
+	}
+	list = append(list, v.config.Seeds...)
+	asked := 0
+	for _, address := range list {
+		if address == v.config.Fleet || asked == maxAsked {
+			continue
+		}
+		asked++
+		s, err := askState(ctx, address, t)
+		if err == nil {
+			return s, nil
+		}
+		v.config.Logger.Debug("another VM did not answer", zap.Stringer("address", address), zap.Error(err))
+	}
+	return feed.State{}, errNoVM
+}
+
+func askState(ctx context.Context, address netip.AddrPort, t feed.Topic) (feed.State, error) {
+	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	conn, err := new(net.Dialer).DialContext(ctx, "tcp", address.String())
+	if err != nil {
+		return feed.State{}, err
+	}
+	rpc := jsonrpc2.NewConn(ctx, jsonrpc2.NewPlainObjectStream(conn), noCalls{})
+	defer rpc.Close()
+	var s feed.State
+	err = rpc.Call(ctx, stateMethod, stateParams{Topic: t}, &s)
+	return s, err
+}
+
+// noCalls refuses calls on a connection that this VM opened.
+type noCalls struct{}
+
+// Handle implements jsonrpc2.Handler.
+func (noCalls) Handle(context.Context, *jsonrpc2.Conn, *jsonrpc2.Request) {}
+
+// keepRegistered lists this VM in the store and meets the others there.
+func (v *VM) keepRegistered(ctx context.Context) {
+	self := gossip.Member{Name: v.config.Name, Zone: v.config.Zone, Address: v.config.Fleet}
+	for ctx.Err() == nil {
+		wait := registerPeriod
+		if err := v.register(ctx, self); err != nil {
+			v.config.Logger.Warn("VM could not be listed", zap.Error(err))
+			wait = registerRetry
+		}
+		timer := time.NewTimer(wait)
+		select {
+		case <-ctx.Done():
+			timer.Stop()
+		case <-timer.C:
+		}
+	}
+}
+
+// register lists the VM first and reads the list then, so that of two VMs that
+// start at the same time at least one sees the other.
+func (v *VM) register(ctx context.Context, self gossip.Member) error {
+	ctx, cancel := context.WithTimeout(ctx, controlTimeout)
+	defer cancel()
+	if !v.leaving.Load() {
+		if err := v.config.Members.Register(ctx, self); err != nil {
+			return err
+		}
+	}
+	list, err := v.config.Members.List(ctx)
+	if err != nil {
+		return err
+	}
+	for _, m := range list {
+		v.gossip.Meet(m)
+	}
+	v.config.Logger.Info("list of VMs read", zap.Int("listed", len(list)), zap.Int("members", v.gossip.Size()))
+	return nil
+}
--- /dev/null
+++ b/internal/fleet/entry/message.go
@@ -0,0 +1,220 @@
+package entry
+
+import (
+	"sync"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"go.uber.org/zap"
+
+	"chestnutbay.dev/chestnutbay/internal/fleet/feed"
+	"chestnutbay.dev/chestnutbay/internal/fleet/gossip"
+	"chestnutbay.dev/chestnutbay/internal/limit/quota"
+	"chestnutbay.dev/chestnutbay/internal/target/balancer"
+	"chestnutbay.dev/chestnutbay/internal/traffic/retry"
+)
+
+// baselineTime is how long after it first hears a VM another one takes the VM's
+// first counts as lying before that.
+const baselineTime = 5 * time.Second
+
+// payload is what one datagram carries between VMs. Short names keep it small.
+type payload struct {
+	Instances     []instanceReport    `cbor:"1,keyasint,omitempty"`
+	Accounts      []accountReport     `cbor:"2,keyasint,omitempty"`
+	Services      []serviceReport     `cbor:"3,keyasint,omitempty"`
+	Announcements []feed.Announcement `cbor:"4,keyasint,omitempty"`
+}
+
+type instanceReport struct {
+	_         struct{} `cbor:",toarray"`
+	Instance  string
+	InFlight  int
+	Started   uint32
+	Succeeded uint32
+	Failed    uint32
+}
+
+type accountReport struct {
+	_        struct{} `cbor:",toarray"`
+	Account  string
+	Admitted uint32
+}
+
+type serviceReport struct {
+	_        struct{} `cbor:",toarray"`
+	Service  string
+	Requests uint32
+	Repeats  uint32
+}
+
+// size returns about how many bytes the payload takes, from above.
+func (p *payload) size() int {
+	const entry = 24 // the counts and markers of one report
+	n := 16
+	for _, r := range p.Instances {
+		n += len(r.Instance) + entry
+	}
+	for _, r := range p.Accounts {
+		n += len(r.Account) + entry
+	}
+	for _, r := range p.Services {
+		n += len(r.Service) + entry
+	}
+	for _, a := range p.Announcements {
+		n += announcementSize(a)
+	}
+	return n
+}
+
+func announcementSize(a feed.Announcement) int {
+	n := 48
+	for _, r := range a.Records {
+		n += len(r.Key) + len(r.Value) + 24
+	}
+	return n
+}
+
+// composer splits what is to be sent into payloads that fit a datagram.
+type composer struct {
+	list []payload
+}
+
+func (c *composer) next(size int) *payload {
+	if len(c.list) == 0 || c.list[len(c.list)-1].size()+size > gossip.PayloadBytes {
+		c.list = append(c.list, payload{})
+	}
+	return &c.list[len(c.list)-1]
+}
+
+// compose returns what the other VMs should know now.
+func (v *VM) compose() [][]byte {
+	var c composer
+	for _, a := range v.outbox.take() {
+		p := c.next(announcementSize(a))
+		p.Announcements = append(p.Announcements, a)
+	}
+	for _, r := range v.balancer.Reports() {
+		p := c.next(len(r.Instance) + 24)
+		p.Instances = append(p.Instances, instanceReport{
+			Instance: r.Instance, InFlight: r.InFlight, Started: r.Started, Succeeded: r.Succeeded, Failed: r.Failed,
+		})
+	}
+	for _, r := range v.quota.Reports() {
+		p := c.next(len(r.Account) + 24)
+		p.Accounts = append(p.Accounts, accountReport{Account: r.Account, Admitted: r.Admitted})
+	}
+	for _, r := range v.budget.Reports() {
+		p := c.next(len(r.Service) + 24)
+		p.Services = append(p.Services, serviceReport{Service: r.Service, Requests: r.Requests, Repeats: r.Repeats})
+	}
+	if len(c.list) == 0 {
+		c.list = append(c.list, payload{})
+	}
+	if v.balancer.Dirty() || v.quota.Dirty() {
+		v.gossip.Changed(false)
+	}
+	var out [][]byte
+	for i := range c.list {
+		b, err := cbor.Marshal(&c.list[i])
+		if err != nil {
+			v.config.Logger.Error("report could not be encoded", zap.Error(err))
+			continue
+		}
+		out = append(out, b)
+	}
+	return out
+}
+
+// receive takes in what another VM reports.
+func (v *VM) receive(vm string, incarnation uint64, b []byte) {
+	if len(b) == 0 {
+		return
+	}
+	var p payload
+	if err := cbor.Unmarshal(b, &p); err != nil {
+		v.config.Logger.Warn("report of another VM cannot be read", zap.String("vm", vm), zap.Error(err))
+		return
+	}
+	baseline := v.acquaintances.since(vm) < baselineTime
+	for _, a := range p.Announcements {
+		v.feed.Heard(a)
+	}
+	v.balancer.Observe(vm, incarnation, p.balancerReports(), baseline)
+	v.quota.Observe(vm, incarnation, p.quotaReports(), v.limits, baseline)
+	v.budget.Observe(vm, incarnation, p.retryReports(), baseline)
+}
+
+func (p *payload) balancerReports() []balancer.Report {
+	list := make([]balancer.Report, 0, len(p.Instances))
+	for _, r := range p.Instances {
+		list = append(list, balancer.Report{
+			Instance: r.Instance, InFlight: max(r.InFlight, 0), Started: r.Started, Succeeded: r.Succeeded, Failed: r.Failed,
+		})
+	}
+	return list
+}
+
+func (p *payload) quotaReports() []quota.Report {
+	list := make([]quota.Report, 0, len(p.Accounts))
+	for _, r := range p.Accounts {
+		list = append(list, quota.Report{Account: r.Account, Admitted: r.Admitted})
+	}
+	return list
+}
+
+func (p *payload) retryReports() []retry.Report {
+	list := make([]retry.Report, 0, len(p.Services))
+	for _, r := range p.Services {
+		list = append(list, retry.Report{Service: r.Service, Requests: r.Requests, Repeats: r.Repeats})
+	}
+	return list
+}
+
+// limits returns an account's rate and burst.
+func (v *VM) limits(account string) (rate, burst float64, ok bool) {
+	t := v.table.Load()
+	if t == nil {
+		return 0, 0, false
+	}
+	a, ok := t.Account(account)
+	if !ok || !a.Limited() {
+		return 0, 0, false
+	}
+	return a.Rate(), a.Burst(), true
+}
+
+// forgotten drops what a VM reported that is no longer a member.
+func (v *VM) forgotten(vm string) {
+	v.balancer.ForgetVM(vm)
+	v.quota.Forget(vm)
+	v.budget.Forget(vm)
+	v.acquaintances.drop(vm)
+}
+
+// acquaintances remembers when each VM was first heard. The zero value is empty.
+type acquaintances struct {
+	mu    sync.Mutex
+	first map[string]time.Time
+}
+
+// since returns how long ago a VM was first heard.
+func (a *acquaintances) since(vm string) time.Duration {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.first == nil {
+		a.first = make(map[string]time.Time)
+	}
+	t, ok := a.first[vm]
+	if !ok {
+		t = time.Now()
+		a.first[vm] = t
+	}
+	return time.Since(t)
+}
+
+func (a *acquaintances) drop(vm string) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	delete(a.first, vm)
+}
--- /dev/null
+++ b/internal/fleet/feed/feed.go
@@ -0,0 +1,317 @@
+// Package feed keeps a VM up to date with what the platform's store holds for it:
+// the operator's configuration and the registrations of target instances.
+//
+// One VM at a time reads the store. It announces to the others how far it has read
+// and what it has found. The others read only if they hear no announcement for a
+// while: the longer a VM's rank, the later. So the number of reads does not grow
+// with the fleet, and a VM that hears nobody reads for itself. A VM that sees that
+// it is behind reads at once, or asks another VM if the store does not answer.
+//
+// # Usage
+//
+//	f := feed.New(feed.Config{Source: store, Apply: apply, Announce: announce, Rank: members.Rank})
+//	group.Go(func() error { return f.Run(ctx) })
+//	f.Heard(announcement) // from another VM
+package feed
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+	"go.uber.org/zap"
+)
+
+// Topic names one stream of records in the store.
+type Topic int
+
+// Topics.
+const (
+	// Configuration holds what the operator publishes.
+	Configuration Topic = iota
+	// Instances holds the registrations of target instances.
+	Instances
+)
+
+// topics lists all topics. Configuration comes first, since no request is served
+// without it.
+var topics = [...]Topic{Configuration, Instances}
+
+// String returns the topic's name in logs.
+func (t Topic) String() string {
+	if t == Configuration {
+		return "configuration"
+	}
+	return "instances"
+}
+
+var (
+	// ErrExpired reports a read from an offset whose record is gone.
+	ErrExpired = merry.Sentinel("feed: records have expired")
+	// ErrUnavailable reports a store that did not answer or refused the call.
+	ErrUnavailable = merry.Sentinel("feed: store unavailable")
+)
+
+// Record is one value that was written under a key. A nil Value removes the key.
+type Record struct {
+	Offset int64  `cbor:"1,keyasint" json:"offset"`
+	Key    string `cbor:"2,keyasint" json:"key"`
+	Value  []byte `cbor:"3,keyasint,omitempty" json:"value,omitempty"`
+}
+
+// Source reads the store.
+type Source interface {
+	// Newest returns the newest record of each key, and the offset after the last
+	// record of the topic.
+	Newest(ctx context.Context, t Topic) ([]Record, int64, error)
+	// Read returns the records from an offset on, and the offset to read from next.
+	Read(ctx context.Context, t Topic, from int64) ([]Record, int64, error)
+}
+
+// Peers asks another VM for all it holds.
+type Peers interface {
+	State(ctx context.Context, t Topic) (State, error)
+}
+
+// State is all that a VM holds of a topic.
+type State struct {
+	Records []Record `json:"records"`
+	Next    int64    `json:"next"`
+}
+
+// Announcement says how far a VM has read a topic.
+type Announcement struct {
+	Topic Topic `cbor:"1,keyasint"`
+	// From and Next bound what was read.
+	From int64 `cbor:"2,keyasint"`
+	Next int64 `cbor:"3,keyasint"`
+	// Age is how long ago the read began.
+	Age time.Duration `cbor:"4,keyasint"`
+	// Records are those between From and Next that say something new. Whole reports
+	// whether none was left out.
+	Records []Record `cbor:"5,keyasint,omitempty"`
+	Whole   bool     `cbor:"6,keyasint,omitempty"`
+}
+
+// Times of the reads.
+const (
+	// period is the time between two reads of a topic over the whole fleet. A
+	// leaving instance must get no more requests within 2 s, and a change of the
+	// configuration must be in force by then.
+	period = 600 * time.Millisecond
+	// rankDelay is added for each VM that ranks before. It covers a read and its
+	// announcement.
+	rankDelay = 60 * time.Millisecond
+	// maxRankDelay bounds the delay, so that a VM that hears nobody reads in time.
+	maxRankDelay = 400 * time.Millisecond
+	// callTimeout bounds one call to the store. A store that is slow takes some
+	// hundred milliseconds.
+	callTimeout = time.Second
+	// retryDelay is the time between two failed reads.
+	retryDelay = 250 * time.Millisecond
+	// announceBytes bounds the records in one announcement.
+	announceBytes = 900
+	// returnGrace is how long a registration may stay away after the store could
+	// not be read: entries that lapsed meanwhile come back within 2 s.
+	returnGrace = 2 * time.Second
+)
+
+// Config is what a Feed works with. All but Peers and Logger are required.
+type Config struct {
+	Source Source
+	// Apply takes in a record that is newer than the last one of its key.
+	Apply func(t Topic, r Record)
+	// Announce tells the other VMs.
+	Announce func(a Announcement)
+	// Rank returns how many VMs come before this one for a name.
+	Rank func(name string) int
+	// Peers may be nil.
+	Peers Peers
+	// Significant reports whether a record says more than the last one of its key.
+	// It may be nil.
+	Significant func(t Topic, before, now []byte) bool
+	Logger      *zap.Logger
+}
+
+// Feed follows the topics. It is safe for concurrent use.
+type Feed struct {
+	config Config
+	kick   [len(topics)]chan struct{}
+
+	mu     sync.Mutex
+	topics [len(topics)]progress
+	reads  uint64
+}
+
+// progress is what is known of one topic.
+type progress struct {
+	records  map[string]Record // the newest of each key, removals included
+	next     int64
+	verified time.Time // when the read began that proved next to be the end
+	loaded   bool
+	lost     bool      // the last read failed
+	regained time.Time // when a read succeeded after failed ones
+	removals map[string]removal
+}
+
+// removal is a removed key that may come back.
+type removal struct {
+	record Record
+	due    time.Time
+}
+
+// New returns a feed that has read nothing.
+func New(c Config) *Feed {
+	if c.Logger == nil {
+		c.Logger = zap.NewNop()
+	}
+	f := &Feed{config: c}
+	for i := range f.topics {
+		f.kick[i] = make(chan struct{}, 1)
+		f.topics[i].records = make(map[string]Record)
+		f.topics[i].removals = make(map[string]removal)
+	}
+	return f
+}
+
+// Age returns how old the proof is that this VM knows the whole topic. It reports
+// false before the first read.
+func (f *Feed) Age(t Topic) (time.Duration, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	p := &f.topics[t]
+	return time.Since(p.verified), p.loaded
+}
+
+// Next returns the offset after the last record that is known.
+func (f *Feed) Next(t Topic) int64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.topics[t].next
+}
+
+// Reads returns how many calls were made to the store.
+func (f *Feed) Reads() uint64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.reads
+}
+
+// State returns all that is known of a topic. It reports false before the first
+// read.
+func (f *Feed) State(t Topic) (State, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	p := &f.topics[t]
+	s := State{Next: p.next}
+	for _, r := range p.records {
+		s.Records = append(s.Records, r)
+	}
+	return s, p.loaded
+}
+
+// kicked makes a topic's loop read at once.
+func (f *Feed) kicked(t Topic) {
+	select {
+	case f.kick[t] <- struct{}{}:
+	default:
+	}
+}
+
+// Heard takes in another VM's announcement.
+func (f *Feed) Heard(a Announcement) {
+	if a.Topic < 0 || int(a.Topic) >= len(topics) {
+		return
+	}
+	began := time.Now().Add(-a.Age)
+	f.mu.Lock()
+	p := &f.topics[a.Topic]
+	if !p.loaded {
+		f.mu.Unlock()
+		return
+	}
+	behind := a.Next > p.next
+	switch {
+	case !behind:
+		if a.Next == p.next && began.After(p.verified) {
+			p.verified = began
+		}
+	case a.Whole && a.From <= p.next:
+		f.apply(a.Topic, a.Records, a.Next)
+		p.verified = began
+		behind = false
+	}
+	f.mu.Unlock()
+	if behind {
+		f.kicked(a.Topic)
+	}
+}
+
+// apply takes in records that are newer than the known ones. The caller holds the
+// lock.
+func (f *Feed) apply(t Topic, records []Record, next int64) []Record {
+	p := &f.topics[t]
+	var news []Record
+	for _, r := range records {
+		old, known := p.records[r.Key]
+		if known && old.Offset >= r.Offset {
+			continue
+		}
+		p.records[r.Key] = r
+		if p.holdRemoval(t, r) {
+			news = append(news, r)
+			continue
+		}
+		delete(p.removals, r.Key)
+		if f.config.Significant == nil || !known || f.config.Significant(t, old.Value, r.Value) {
+			news = append(news, r)
+		}
+		f.config.Apply(t, r)
+	}
+	p.next = max(p.next, next)
+	return news
+}
+
+// holdRemoval keeps the registration of an instance for a moment when the store
+// was away: its entry may have lapsed only because the instance could not renew it.
+func (p *progress) holdRemoval(t Topic, r Record) bool {
+	if t != Instances || r.Value != nil {
+		return false
+	}
+	if !p.lost && time.Since(p.regained) > returnGrace {
+		return false
+	}
+	p.removals[r.Key] = removal{record: r, due: time.Now().Add(returnGrace)}
+	return true
+}
+
+// expire applies the removals whose time is over. The caller holds the lock.
+func (f *Feed) expire(t Topic, now time.Time) {
+	p := &f.topics[t]
+	for key, r := range p.removals {
+		if now.Before(r.due) {
+			continue
+		}
+		delete(p.removals, key)
+		f.config.Apply(t, r.record)
+	}
+}
+
+// replace takes in a whole listing: keys that it lacks were removed. The caller
+// holds the lock.
+func (f *Feed) replace(t Topic, records []Record, next int64) []Record {
+	p := &f.topics[t]
+	listed := make(map[string]bool, len(records))
+	for _, r := range records {
+		listed[r.Key] = true
+	}
+	for key, r := range p.records {
+		if !listed[key] && r.Value != nil && r.Offset < next {
+			records = append(records, Record{Offset: next - 1, Key: key})
+		}
+	}
+	slices.SortFunc(records, func(a, b Record) int { return int(a.Offset - b.Offset) })
+	return f.apply(t, records, next)
+}
--- /dev/null
+++ b/internal/target/balancer/balancer.go
@@ -0,0 +1,236 @@
+// Package balancer chooses the target instance of each request from what all VMs
+// see: how many requests each instance has in progress, and which instances failed
+// lately. Every VM decides for itself, with its own view when no other VM can be
+// heard, so no call to another VM stands between a caller and its answer.
+//
+// An instance with a gray failure fails requests while its health report is good.
+// One failed answer is enough to avoid the instance for a while on all VMs; the
+// first requests after that are those whose failure costs least.
+//
+// # Usage
+//
+//	b := balancer.New(balancer.Config{Directory: &directory, Self: "vm-1"})
+//	choice, err := b.Choose(balancer.Request{Service: "orders"})
+//	if err != nil {
+//		return err // a *Refusal says when to come back
+//	}
+//	choice.Done(outcome)
+//
+// Reports returns what the other VMs need to know of this one, and Observe takes
+// in what they report.
+package balancer
+
+import (
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+
+	"chestnutbay.dev/chestnutbay/internal/target/directory"
+	"chestnutbay.dev/chestnutbay/internal/target/evidence"
+)
+
+// ErrNoInstance reports a service without an instance that may get the request.
+var ErrNoInstance = merry.Sentinel("balancer: no instance can take the request")
+
+// Warmup says how much a cold instance of a service bears.
+type Warmup interface {
+	// WarmupRate returns the requests a second that a cold instance bears from all
+	// VMs together.
+	WarmupRate(service string) float64
+}
+
+// Fleet tells which VM may use a cold instance in the present second.
+type Fleet interface {
+	// Designated reports whether this VM is the one that the fleet agrees on for a
+	// name, as far as this VM knows the fleet.
+	Designated(name string) bool
+}
+
+// Config is what a Balancer works with. Directory is required.
+type Config struct {
+	Directory *directory.Directory
+	Warmup    Warmup
+	Fleet     Fleet
+	// Zone is this VM's availability zone, which is preferred among equals.
+	Zone string
+	// Changed is called when something was recorded that other VMs should learn
+	// soon. It may be nil.
+	Changed func(urgent bool)
+}
+
+// Request says what is to be sent.
+type Request struct {
+	Service string
+	// Idempotent requests may fail at little cost, so they are the first at an
+	// instance that failed lately.
+	Idempotent bool
+	// Exclude lists the instances that the request was sent to before.
+	Exclude []string
+}
+
+// Balancer chooses instances. It is safe for concurrent use.
+type Balancer struct {
+	config Config
+
+	mu        sync.Mutex
+	instances map[string]*record
+	changed   map[string]int // instances to report, with the reports left
+}
+
+// New returns a balancer.
+func New(c Config) *Balancer {
+	return &Balancer{config: c, instances: make(map[string]*record), changed: make(map[string]int)}
+}
+
+// Choose picks an instance for one request. The request's end is reported with the
+// choice's Done.
+func (b *Balancer) Choose(r Request) (*Choice, error) {
+	serving := b.config.Directory.Serving(r.Service)
+	now := time.Now()
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	best, bestCost := (*record)(nil), 0.0
+	for _, i := range serving {
+		if contains(r.Exclude, i.ID()) {
+			continue
+		}
+		rec := b.record(i)
+		cost, ok := b.cost(rec, r, now)
+		if ok && (best == nil || cost < bestCost) {
+			best, bestCost = rec, cost
+		}
+	}
+	if best == nil {
+		return nil, merry.Wrap(ErrNoInstance, merry.AppendMessagef("%d of %s listed", len(serving), r.Service))
+	}
+	return b.start(best, bestCost, now), nil
+}
+
+// start counts a request at an instance.
+func (b *Balancer) start(rec *record, cost float64, now time.Time) *Choice {
+	rec.own++
+	rec.started++
+	rec.recent.add(now, 1)
+	c := &Choice{b: b, rec: rec, instance: rec.instance, started: now, cost: cost, before: rec.view(now)}
+	rec.pending = append(rec.pending, c)
+	b.note(rec, false)
+	return c
+}
+
+// cost ranks an instance for a request; the lowest cost is chosen. It returns
+// false for an instance that must not get the request.
+func (b *Balancer) cost(rec *record, r Request, now time.Time) (float64, bool) {
+	if rec.cold(now) && !b.admitsCold(rec, now) {
+		return 0, false
+	}
+	cost := loadCost(rec.inFlight(now), rec.instance.Slots())
+	cost += rec.risk(now, r.Idempotent)
+	if rec.instance.Zone() != b.config.Zone {
+		cost += remoteZoneCost
+	}
+	return cost + rand.Float64()*tieCost, true
+}
+
+// admitsCold reports whether a cold instance may get one more request from this
+// VM. Each second belongs to one VM, so that the sum over all VMs keeps within
+// what the instance bears.
+func (b *Balancer) admitsCold(rec *record, now time.Time) bool {
+	if b.config.Warmup == nil {
+		return true
+	}
+	rate := b.config.Warmup.WarmupRate(rec.instance.Service())
+	if rate <= 0 {
+		return true
+	}
+	second := now.Unix()
+	if b.config.Fleet != nil && !b.config.Fleet.Designated(coldName(rec.instance.ID(), second)) {
+		return false
+	}
+	if rec.recent.sum(now, time.Second) >= rate {
+		return false
+	}
+	return true
+}
+
+// record returns what is known of an instance, from nothing for a new start.
+func (b *Balancer) record(i *directory.Instance) *record {
+	rec := b.instances[i.ID()]
+	if rec == nil || rec.instance.Started() != i.Started() {
+		rec = &record{instance: i}
+		b.instances[i.ID()] = rec
+	}
+	rec.instance = i
+	return rec
+}
+
+// Forget drops what is known of an instance.
+func (b *Balancer) Forget(id string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	delete(b.instances, id)
+	delete(b.changed, id)
+}
+
+// ForgetVM drops what a VM reported that is no longer a member.
+func (b *Balancer) ForgetVM(vm string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, rec := range b.instances {
+		delete(rec.peers, vm)
+	}
+}
+
+// note marks a change for the next reports. The caller holds the lock.
+func (b *Balancer) note(rec *record, urgent bool) {
+	b.changed[rec.instance.ID()] = reportCopies
+	if b.config.Changed != nil {
+		b.config.Changed(urgent)
+	}
+}
+
+// Choice is one request at an instance.
+type Choice struct {
+	b        *Balancer
+	rec      *record
+	instance *directory.Instance
+	started  time.Time
+	cost     float64
+	before   View
+	done     bool
+}
+
+// Instance is the chosen instance.
+func (c *Choice) Instance() *directory.Instance { return c.instance }
+
+// Cost is the instance's cost when it was chosen.
+func (c *Choice) Cost() float64 { return c.cost }
+
+// View is what was known of the instance when it was chosen.
+func (c *Choice) View() View { return c.before }
+
+// Done reports how the request ended. It counts once.
+func (c *Choice) Done(o evidence.Outcome) {
+	b := c.b
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if c.done {
+		return
+	}
+	c.done = true
+	now := time.Now()
+	c.rec.own--
+	c.rec.unpend(c)
+	urgent := c.rec.observeOwn(o, now, c.started)
+	b.note(c.rec, urgent)
+}
+
+func contains(list []string, s string) bool {
+	for _, x := range list {
+		if x == s {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/target/balancer/report.go
@@ -0,0 +1,92 @@
+package balancer
+
+import "time"
+
+// Report is what one VM tells the others of an instance. Counts run since the VM
+// first saw the instance, so a lost report is made up for by the next one.
+type Report struct {
+	Instance  string
+	InFlight  int
+	Started   uint32
+	Succeeded uint32
+	Failed    uint32
+}
+
+// Reports returns what has changed since the last reports, each change a few times.
+func (b *Balancer) Reports() []Report {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var list []Report
+	for id, left := range b.changed {
+		rec := b.instances[id]
+		if rec == nil {
+			delete(b.changed, id)
+			continue
+		}
+		list = append(list, Report{
+			Instance: id, InFlight: rec.own,
+			Started: rec.started, Succeeded: rec.succeeded, Failed: rec.failed,
+		})
+		if left <= 1 {
+			delete(b.changed, id)
+			continue
+		}
+		b.changed[id] = left - 1
+	}
+	return list
+}
+
+// Dirty reports whether Reports would return anything.
+func (b *Balancer) Dirty() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return len(b.changed) > 0
+}
+
+// Observe takes in what another VM reports. An incarnation is one start of that
+// VM's process, whose counts begin at 0.
+func (b *Balancer) Observe(vm string, incarnation uint64, reports []Report, baseline bool) {
+	now := time.Now()
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, r := range reports {
+		i, ok := b.config.Directory.Get(r.Instance)
+		if !ok {
+			continue
+		}
+		b.record(i).observe(vm, peer{at: now, incarnation: incarnation, report: r}, baseline)
+	}
+}
+
+func (r *record) observe(vm string, p peer, baseline bool) {
+	if r.peers == nil {
+		r.peers = make(map[string]peer)
+	}
+	last, known := r.peers[vm]
+	r.peers[vm] = p
+	switch {
+	case !known && baseline:
+		return
+	case last.incarnation != p.incarnation:
+		last = peer{}
+	}
+	r.recent.add(p.at, float64(since(last.report.Started, p.report.Started)))
+	if n := since(last.report.Succeeded, p.report.Succeeded); n > 0 {
+		r.good.add(p.at, float64(n))
+		if !p.at.Before(r.suspectUntil) {
+			r.failures = 0
+		}
+	}
+	if since(last.report.Failed, p.report.Failed) > 0 {
+		r.failure(p.at)
+	}
+}
+
+// since returns how far a running count has come. A count that went back belongs
+// to a record that the other VM started anew.
+func since(before, now uint32) uint32 {
+	if now < before {
+		return now
+	}
+	return now - before
+}
--- /dev/null
+++ b/internal/traffic/retry/fleet.go
@@ -0,0 +1,161 @@
+package retry
+
+import (
+	"sync"
+	"time"
+)
+
+const (
+	// fleetShare is the part of the allowed repeats that the VMs use, so that what
+	// two VMs spend before they hear of each other stays within the bound.
+	fleetShare = 0.75
+	// reportCopies is how often a change is reported, since datagrams get lost.
+	reportCopies = 2
+)
+
+// FleetConfig bounds the repeats at a service from all VMs together.
+type FleetConfig struct {
+	// Ratio is how many repeats are allowed for each request within a window.
+	Ratio float64
+	// Slack is how many repeats are always allowed within a window.
+	Slack float64
+	// Heard returns the part of the fleet's VMs that were heard lately, this VM
+	// included. VMs that are not heard may use their part of the slack. It may be
+	// nil.
+	Heard func() float64
+}
+
+// FleetBudget bounds the repeats at each service over all VMs. Own counts are
+// taken at once and those of other VMs when they report them. It is safe for
+// concurrent use.
+type FleetBudget struct {
+	config FleetConfig
+
+	mu       sync.Mutex
+	start    time.Time
+	services map[string]*fleetWindow
+	changed  map[string]int
+}
+
+type fleetWindow struct {
+	window
+	requests uint32 // of this VM since its start
+	repeats  uint32
+	peers    map[string]fleetPeer
+}
+
+type fleetPeer struct {
+	incarnation uint64
+	report      Report
+}
+
+// Report is what one VM tells the others of a service. Counts run since its start.
+type Report struct {
+	Service  string
+	Requests uint32
+	Repeats  uint32
+}
+
+// NewFleetBudget returns a budget without requests.
+func NewFleetBudget(c FleetConfig) *FleetBudget {
+	return &FleetBudget{config: c, start: time.Now(), services: make(map[string]*fleetWindow), changed: make(map[string]int)}
+}
+
+// Request counts a request, however often it is sent.
+func (b *FleetBudget) Request(service string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	w := b.service(service)
+	w.requests++
+	w.at(b.second()).requests++
+	b.changed[service] = reportCopies
+}
+
+// Take spends one repeat and reports whether there was one.
+func (b *FleetBudget) Take(service string) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	w := b.service(service)
+	now := b.second()
+	requests, repeats := w.sum(now)
+	heard := 1.0
+	if b.config.Heard != nil {
+		heard = b.config.Heard()
+	}
+	allowed := fleetShare * (b.config.Ratio*float64(requests) + b.config.Slack*heard)
+	if float64(repeats+1) > allowed {
+		return false
+	}
+	w.repeats++
+	w.at(now).retries++
+	b.changed[service] = reportCopies
+	return true
+}
+
+// Counts returns the requests and repeats of the present window, for logs.
+func (b *FleetBudget) Counts(service string) (requests, repeats int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.service(service).sum(b.second())
+}
+
+func (b *FleetBudget) service(name string) *fleetWindow {
+	w := b.services[name]
+	if w == nil {
+		w = &fleetWindow{peers: make(map[string]fleetPeer)}
+		b.services[name] = w
+	}
+	return w
+}
+
+func (b *FleetBudget) second() int64 {
+	return int64(2*slots) + int64(time.Since(b.start)/time.Second)
+}
+
+// Reports returns what has changed since the last reports, each change a few times.
+func (b *FleetBudget) Reports() []Report {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var list []Report
+	for service, left := range b.changed {
+		w := b.services[service]
+		list = append(list, Report{Service: service, Requests: w.requests, Repeats: w.repeats})
+		if left <= 1 {
+			delete(b.changed, service)
+			continue
+		}
+		b.changed[service] = left - 1
+	}
+	return list
+}
+
+// Observe takes in what another VM reports. If baseline is set, this VM has just
+// started, and the first counts that it hears lie before its time.
+func (b *FleetBudget) Observe(vm string, incarnation uint64, reports []Report, baseline bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	now := b.second()
+	for _, r := range reports {
+		w := b.service(r.Service)
+		last, known := w.peers[vm]
+		w.peers[vm] = fleetPeer{incarnation: incarnation, report: r}
+		switch {
+		case !known && baseline:
+			continue
+		case last.incarnation != incarnation:
+			last = fleetPeer{}
+		}
+		c := w.at(now)
+		c.requests += int(r.Requests - last.report.Requests)
+		c.retries += int(r.Repeats - last.report.Repeats)
+	}
+}
+
+// Forget drops what a VM reported.
+func (b *FleetBudget) Forget(vm string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, w := range b.services {
+		delete(w.peers, vm)
+	}
+}
