feed: a VM that the store refuses asks the VM that is ahead

Found by TestStoreRefusesSome, which failed first: a VM whose own turn had come and whose read failed never asked the others, since only a wake-up by an announcement led there; and it took the state of the first VM that answered, which may be as old as its own. It now remembers how far another VM has read and which one, and takes only a state that reaches as far.

--- a/internal/fleet/entry/control.go
+++ b/internal/fleet/entry/control.go
@@ -95,28 +95,36 @@
 	return s, nil
 }
 
-// State asks other VMs for all they hold of a topic, those of the own zone first.
-func (v *VM) State(ctx context.Context, t feed.Topic) (feed.State, error) {
-	var list []netip.AddrPort
-	for _, m := range v.gossip.Present() {
-		list = append(list, m.Address)
-	}
-	list = append(list, v.config.Seeds...)
+// State asks other VMs for all that one of them holds, if it has read at least up
+// to an offset: the VM named first, then those of the own zone, then the others.
+func (v *VM) State(ctx context.Context, t feed.Topic, least int64, first string) (feed.State, error) {
 	asked := 0
-	for _, address := range list {
+	for _, address := range v.peersToAsk(first) {
 		if address == v.config.Fleet || asked == maxAsked {
 			continue
 		}
 		asked++
 		s, err := askState(ctx, address, t)
-		if err == nil {
+		if err == nil && s.Next >= least {
 			return s, nil
 		}
-		v.config.Logger.Debug("another VM did not answer", zap.Stringer("address", address), zap.Error(err))
+		v.config.Logger.Debug("another VM could not help", zap.Stringer("address", address), zap.Int64("next", s.Next), zap.Error(err))
 	}
 	return feed.State{}, errNoVM
 }
 
+func (v *VM) peersToAsk(first string) []netip.AddrPort {
+	var list []netip.AddrPort
+	for _, m := range v.gossip.Present() {
+		if m.Name == first {
+			list = append([]netip.AddrPort{m.Address}, list...)
+			continue
+		}
+		list = append(list, m.Address)
+	}
+	return append(list, v.config.Seeds...)
+}
+
 func askState(ctx context.Context, address netip.AddrPort, t feed.Topic) (feed.State, error) {
 	ctx, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
--- a/internal/fleet/entry/entry.go
+++ b/internal/fleet/entry/entry.go
@@ -90,6 +90,7 @@
 	server        *ingress.Server
 	registry      *prometheus.Registry
 	leaving       atomic.Bool
+	grace         atomic.Int64 // a time.Duration
 	outbox        announcements
 	acquaintances acquaintances
 
@@ -157,9 +158,23 @@
 		Table: v.table.Load, Balancer: v.balancer, Quota: v.quota, Budget: v.budget, Headers: c.Headers,
 		VMs: v.gossip.Size, Metrics: ingress.NewMetrics(v.registry), Logger: c.Logger,
 	})
+	v.grace.Store(int64(c.Grace))
 	v.registerMetrics()
 }
 
+// Adjustment holds the settings that a running VM can change.
+type Adjustment struct {
+	RetryRatio float64
+	RetrySlack float64
+	Grace      time.Duration
+}
+
+// Adjust puts changed settings in force.
+func (v *VM) Adjust(a Adjustment) {
+	v.budget.Adjust(a.RetryRatio, a.RetrySlack)
+	v.grace.Store(int64(a.Grace))
+}
+
 // WarmupRate returns the requests a second that a cold instance of a service bears
 // from all VMs together.
 func (v *VM) WarmupRate(service string) float64 {
--- a/internal/fleet/entry/message.go
+++ b/internal/fleet/entry/message.go
@@ -138,7 +138,7 @@
 	}
 	baseline := v.acquaintances.since(vm) < baselineTime
 	for _, a := range p.Announcements {
-		v.feed.Heard(a)
+		v.feed.Heard(vm, a)
 	}
 	v.balancer.Observe(vm, incarnation, p.balancerReports(), baseline)
 	v.quota.Observe(vm, incarnation, p.quotaReports(), v.limits, baseline)
--- a/internal/fleet/entry/stop.go
+++ b/internal/fleet/entry/stop.go
@@ -21,7 +21,7 @@
 // first, what still arrives is served, then the listeners close and the requests
 // in progress finish.
 func (v *VM) stop() {
-	grace := v.config.Grace
+	grace := time.Duration(v.grace.Load())
 	if grace <= 0 {
 		grace = defaultGrace
 	}
--- a/internal/fleet/feed/feed.go
+++ b/internal/fleet/feed/feed.go
@@ -70,9 +70,11 @@
 	Read(ctx context.Context, t Topic, from int64) ([]Record, int64, error)
 }
 
-// Peers asks another VM for all it holds.
+// Peers asks other VMs for all that one of them holds.
 type Peers interface {
-	State(ctx context.Context, t Topic) (State, error)
+	// State returns the state of a VM that has read at least up to an offset. The
+	// VM named first is asked before the others, if it is not "".
+	State(ctx context.Context, t Topic, least int64, first string) (State, error)
 }
 
 // State is all that a VM holds of a topic.
@@ -151,6 +153,8 @@
 	next     int64
 	verified time.Time // when the read began that proved next to be the end
 	loaded   bool
+	ahead    int64     // how far another VM is known to have read
+	aheadVM  string    // that VM
 	lost     bool      // the last read failed
 	regained time.Time // when a read succeeded after failed ones
 	removals map[string]removal
@@ -221,7 +225,7 @@
 }
 
 // Heard takes in another VM's announcement.
-func (f *Feed) Heard(a Announcement) {
+func (f *Feed) Heard(vm string, a Announcement) {
 	if a.Topic < 0 || int(a.Topic) >= len(topics) {
 		return
 	}
@@ -232,6 +236,9 @@
 		f.mu.Unlock()
 		return
 	}
+	if a.Next > p.ahead {
+		p.ahead, p.aheadVM = a.Next, vm
+	}
 	behind := a.Next > p.next
 	switch {
 	case !behind:
--- /dev/null
+++ b/internal/fleet/feed/feed_test.go
@@ -0,0 +1,345 @@
+package feed_test
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+	"golang.org/x/sync/errgroup"
+
+	"chestnutbay.dev/chestnutbay/internal/fleet/feed"
+)
+
+// store is the platform's store in memory.
+type store struct {
+	mu      sync.Mutex
+	records [2][]feed.Record
+	first   [2]int64
+	reads   int
+	down    func(vm int) bool
+}
+
+func (s *store) put(t feed.Topic, key, value string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	r := feed.Record{Offset: int64(len(s.records[t])), Key: key}
+	if value != "" {
+		r.Value = []byte(value)
+	}
+	s.records[t] = append(s.records[t], r)
+}
+
+// storeTime is how long a call takes.
+const storeTime = 4 * time.Millisecond
+
+// client is one VM's way to the store.
+type client struct {
+	*store
+	vm int
+}
+
+// call counts a call. The caller holds the lock.
+func (c client) call() error {
+	c.reads++
+	if c.down != nil && c.down(c.vm) {
+		return feed.ErrUnavailable
+	}
+	return nil
+}
+
+func (c client) Newest(_ context.Context, t feed.Topic) ([]feed.Record, int64, error) {
+	time.Sleep(storeTime)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if err := c.call(); err != nil {
+		return nil, 0, err
+	}
+	newest := make(map[string]feed.Record)
+	for _, r := range c.records[t] {
+		newest[r.Key] = r
+		if r.Value == nil {
+			delete(newest, r.Key)
+		}
+	}
+	var list []feed.Record
+	for _, r := range newest {
+		list = append(list, r)
+	}
+	return list, int64(len(c.records[t])), nil
+}
+
+func (c client) Read(_ context.Context, t feed.Topic, from int64) ([]feed.Record, int64, error) {
+	time.Sleep(storeTime)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if err := c.call(); err != nil {
+		return nil, 0, err
+	}
+	if from < c.first[t] {
+		return nil, 0, feed.ErrExpired
+	}
+	return append([]feed.Record(nil), c.records[t][from:]...), int64(len(c.records[t])), nil
+}
+
+// vm is one VM with its copy of the store.
+type vm struct {
+	feed   *feed.Feed
+	cancel context.CancelFunc
+	mu     sync.Mutex
+	values map[string]string
+}
+
+func (v *vm) get(key string) string {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.values[key]
+}
+
+type fleet struct {
+	store *store
+	vms   []*vm
+	group errgroup.Group
+	// deaf VMs hear no announcements.
+	deaf map[int]bool
+}
+
+func newFleet(n int) *fleet {
+	f := &fleet{store: &store{}, deaf: make(map[int]bool)}
+	for range n {
+		f.start()
+	}
+	return f
+}
+
+func (f *fleet) start() *vm {
+	i := len(f.vms)
+	v := &vm{values: make(map[string]string)}
+	v.feed = feed.New(feed.Config{
+		Source: client{store: f.store, vm: i},
+		Apply: func(_ feed.Topic, r feed.Record) {
+			v.mu.Lock()
+			defer v.mu.Unlock()
+			v.values[r.Key] = string(r.Value)
+		},
+		Announce: func(a feed.Announcement) {
+			for j, other := range f.vms {
+				if j != i && !f.deaf[j] {
+					other.feed.Heard(fmt.Sprint("vm-", i), a)
+				}
+			}
+		},
+		Rank:        func(string) int { return i },
+		Peers:       peers{f: f, self: i},
+		Significant: func(_ feed.Topic, before, now []byte) bool { return string(before) != string(now) },
+	})
+	f.vms = append(f.vms, v)
+	ctx, cancel := context.WithCancel(context.Background())
+	v.cancel = cancel
+	f.group.Go(func() error { return v.feed.Run(ctx) })
+	return v
+}
+
+func (f *fleet) stop() {
+	for _, v := range f.vms {
+		v.cancel()
+	}
+	f.group.Wait() //nolint:errcheck // Run returns nil.
+}
+
+type peers struct {
+	f    *fleet
+	self int
+}
+
+func (p peers) State(_ context.Context, t feed.Topic, least int64, _ string) (feed.State, error) {
+	for i, v := range p.f.vms {
+		if i == p.self || p.f.deaf[i] {
+			continue
+		}
+		if s, ok := v.feed.State(t); ok && s.Next >= least {
+			return s, nil
+		}
+	}
+	return feed.State{}, feed.ErrUnavailable
+}
+
+// inForce is the time within which a change must be in force on every VM.
+const inForce = 2 * time.Second
+
+func (f *fleet) expect(t *testing.T, key, value string) {
+	t.Helper()
+	for i, v := range f.vms {
+		if got := v.get(key); got != value {
+			t.Errorf("vm %d has %.20q for %s, want %.20q", i, got, key, value)
+		}
+	}
+}
+
+// TestReadsDoNotGrow guards against a number of reads that grows with the fleet.
+func TestReadsDoNotGrow(t *testing.T) {
+	for _, n := range []int{1, 10, 100} {
+		t.Run(fmt.Sprintf("%d VMs", n), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				f := newFleet(n)
+				defer f.stop()
+				time.Sleep(3 * time.Second)
+				f.store.mu.Lock()
+				f.store.reads = 0
+				f.store.mu.Unlock()
+				for i := range 60 {
+					f.store.put(feed.Instances, "i-1", fmt.Sprint("state ", i/10))
+					time.Sleep(time.Second)
+				}
+				f.store.mu.Lock()
+				is.True(f.store.reads < 250) // two topics, every 0.6 s at most
+				f.store.mu.Unlock()
+				f.expect(t, "i-1", "state 5")
+			})
+		})
+	}
+}
+
+// TestReaderGone guards against a fleet that stops reading when its reader dies or
+// is cut off.
+func TestReaderGone(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(6)
+		defer f.stop()
+		time.Sleep(3 * time.Second)
+		for i := range 5 {
+			f.vms[i].cancel()
+			f.store.put(feed.Instances, "i-1", fmt.Sprint("after ", i))
+			time.Sleep(inForce)
+			for _, v := range f.vms[i+1:] {
+				if got := v.get("i-1"); got != fmt.Sprint("after ", i) {
+					t.Fatalf("a VM has %q after the death of reader %d", got, i)
+				}
+			}
+		}
+	})
+}
+
+// large is a value that no datagram carries.
+var large = strings.Repeat("x", 100_000)
+
+// TestStoreRefusesSome guards against a VM that keeps a withdrawn configuration
+// because the store turns it away, while others know better.
+func TestStoreRefusesSome(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(6)
+		defer f.stop()
+		f.store.put(feed.Configuration, "config", "1")
+		time.Sleep(3 * time.Second)
+		f.store.mu.Lock()
+		f.store.down = func(vm int) bool { return vm < 3 } // the first readers among them
+		f.store.mu.Unlock()
+		f.store.put(feed.Configuration, "config", "2"+large)
+		time.Sleep(inForce)
+		f.expect(t, "config", "2"+large)
+	})
+}
+
+// TestStartWithoutStore guards against a VM that starts while the store is away and
+// serves nothing, though others hold all it needs.
+func TestStartWithoutStore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(2)
+		defer f.stop()
+		f.store.put(feed.Configuration, "config", "1")
+		time.Sleep(3 * time.Second)
+		f.store.mu.Lock()
+		f.store.down = func(int) bool { return true }
+		f.store.mu.Unlock()
+		f.start()
+		time.Sleep(inForce)
+		f.expect(t, "config", "1")
+	})
+}
+
+// TestDeaf guards against a VM that hears no announcements and falls behind.
+func TestDeaf(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(3)
+		defer f.stop()
+		f.deaf[2] = true
+		time.Sleep(3 * time.Second)
+		f.store.put(feed.Configuration, "config", "2")
+		time.Sleep(inForce)
+		f.expect(t, "config", "2")
+	})
+}
+
+// TestExpired guards against a VM that stops following when the records that it
+// has not read are gone, and against keys whose removal it never saw.
+func TestExpired(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(1)
+		defer f.stop()
+		f.store.put(feed.Instances, "i-1", "ready")
+		f.store.put(feed.Instances, "i-2", "ready")
+		time.Sleep(2 * time.Second)
+		f.store.put(feed.Instances, "i-1", "")
+		f.store.put(feed.Instances, "i-3", "ready")
+		f.store.mu.Lock()
+		f.store.first[feed.Instances] = int64(len(f.store.records[feed.Instances]))
+		f.store.mu.Unlock()
+		time.Sleep(inForce)
+		f.expect(t, "i-1", "")
+		f.expect(t, "i-2", "ready")
+		f.expect(t, "i-3", "ready")
+	})
+}
+
+// TestLapsedEntries guards against living instances that are dropped because their
+// entries lapsed while the store was away, and against entries that are gone for
+// good and kept.
+func TestLapsedEntries(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFleet(1)
+		defer f.stop()
+		f.store.put(feed.Instances, "alive", "ready")
+		f.store.put(feed.Instances, "dead", "ready")
+		time.Sleep(2 * time.Second)
+		f.store.mu.Lock()
+		f.store.down = func(int) bool { return true }
+		f.store.mu.Unlock()
+		time.Sleep(5 * time.Second)
+		f.store.put(feed.Instances, "alive", "")
+		f.store.put(feed.Instances, "dead", "")
+		f.store.mu.Lock()
+		f.store.down = nil
+		f.store.mu.Unlock()
+		for range 15 {
+			time.Sleep(100 * time.Millisecond)
+			is.Equal(f.vms[0].get("alive"), "ready")
+		}
+		f.store.put(feed.Instances, "alive", "ready again")
+		time.Sleep(3 * time.Second)
+		f.expect(t, "alive", "ready again")
+		f.expect(t, "dead", "")
+	})
+}
+
+// TestNeverBack guards against an older record that replaces a newer one because
+// it arrives later by another way.
+func TestNeverBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(1)
+		defer f.stop()
+		f.store.put(feed.Configuration, "config", "1")
+		f.store.put(feed.Configuration, "config", "2")
+		time.Sleep(2 * time.Second)
+		f.vms[0].feed.Heard("vm-9", feed.Announcement{
+			Topic: feed.Configuration, From: 0, Next: 9, Whole: true,
+			Records: []feed.Record{{Offset: 0, Key: "config", Value: []byte("1")}},
+		})
+		f.expect(t, "config", "2")
+	})
+}
--- a/internal/fleet/feed/run.go
+++ b/internal/fleet/feed/run.go
@@ -24,36 +24,36 @@
 // follow reads one topic whenever this VM's turn has come.
 func (f *Feed) follow(ctx context.Context, t Topic) {
 	for ctx.Err() == nil {
-		kicked := f.await(ctx, t)
+		f.await(ctx, t)
 		if ctx.Err() != nil {
 			return
 		}
 		if f.read(ctx, t) {
 			continue
 		}
-		if kicked || !f.isLoaded(t) {
+		if f.isBehind(t) {
 			f.ask(ctx, t)
 		}
 		sleep(ctx, retryDelay)
 	}
 }
 
-// await waits until this VM should read the topic. It reports whether another VM
-// is known to be ahead.
-func (f *Feed) await(ctx context.Context, t Topic) bool {
+// await waits until this VM should read the topic: when its turn has come, or when
+// another VM is known to be ahead.
+func (f *Feed) await(ctx context.Context, t Topic) {
 	for {
 		wait := f.untilTurn(t)
 		if wait <= 0 {
-			return false
+			return
 		}
 		timer := time.NewTimer(wait)
 		select {
 		case <-ctx.Done():
 			timer.Stop()
-			return false
+			return
 		case <-f.kick[t]:
 			timer.Stop()
-			return true
+			return
 		case <-timer.C:
 		}
 		f.mu.Lock()
@@ -74,10 +74,12 @@
 	return time.Until(p.verified.Add(period + delay))
 }
 
-func (f *Feed) isLoaded(t Topic) bool {
+// isBehind reports whether other VMs are known to hold more, or this VM nothing.
+func (f *Feed) isBehind(t Topic) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.topics[t].loaded
+	p := &f.topics[t]
+	return !p.loaded || p.ahead > p.next
 }
 
 // read brings the topic up to date from the store and announces the result.
@@ -167,7 +169,10 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	s, err := f.config.Peers.State(ctx, t)
+	f.mu.Lock()
+	least, first := f.topics[t].ahead, f.topics[t].aheadVM
+	f.mu.Unlock()
+	s, err := f.config.Peers.State(ctx, t, least, first)
 	if err != nil {
 		f.config.Logger.Debug("no other VM answers", zap.Stringer("topic", t), zap.Error(err))
 		return
@@ -175,10 +180,9 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	p := &f.topics[t]
-	first := !p.loaded
 	f.apply(t, s.Records, s.Next)
 	p.loaded = true
-	f.config.Logger.Info("topic taken from another VM", zap.Stringer("topic", t), zap.Int64("next", s.Next), zap.Bool("first", first))
+	f.config.Logger.Info("topic taken from another VM", zap.Stringer("topic", t), zap.Int64("next", s.Next), zap.String("other", first))
 }
 
 func sleep(ctx context.Context, d time.Duration) {
--- a/internal/target/balancer/balancer.go
+++ b/internal/target/balancer/balancer.go
@@ -110,10 +110,10 @@
 
 // start counts a request at an instance.
 func (b *Balancer) start(rec *record, cost float64, now time.Time) *Choice {
+	c := &Choice{b: b, rec: rec, instance: rec.instance, started: now, cost: cost, before: rec.view(now)}
 	rec.own++
 	rec.started++
 	rec.recent.add(now, 1)
-	c := &Choice{b: b, rec: rec, instance: rec.instance, started: now, cost: cost, before: rec.view(now)}
 	rec.pending = append(rec.pending, c)
 	b.note(rec, false)
 	return c
--- /dev/null
+++ b/internal/target/balancer/balancer_test.go
@@ -0,0 +1,232 @@
+package balancer_test
+
+import (
+	"errors"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"chestnutbay.dev/chestnutbay/internal/target/balancer"
+	"chestnutbay.dev/chestnutbay/internal/target/directory"
+	"chestnutbay.dev/chestnutbay/internal/target/evidence"
+)
+
+const warmupRate = 2.5
+
+// fleet is a number of VMs with one directory, whose reports reach each other when
+// share is called.
+type fleet struct {
+	vms       []*balancer.Balancer
+	directory directory.Directory
+}
+
+// rank lets one VM a name be designated, as rendezvous hashing does.
+type rank struct{ vm, vms int }
+
+func (r rank) Designated(name string) bool {
+	h := 0
+	for _, c := range name {
+		h = (h*31 + int(c)) % 1000003
+	}
+	return h%r.vms == r.vm
+}
+
+type warmup struct{}
+
+func (warmup) WarmupRate(string) float64 { return warmupRate }
+
+func newFleet(vms, instances int) *fleet {
+	f := &fleet{}
+	for i := range instances {
+		f.directory.Put(directory.NewInstance(directory.Registration{
+			ID: fmt.Sprintf("i-%d", i), Service: "orders", Address: fmt.Sprintf("10.0.0.%d:80", i), Zone: "north", Slots: 2, Started: 1,
+		}))
+	}
+	for i := range vms {
+		f.vms = append(f.vms, balancer.New(balancer.Config{Directory: &f.directory, Warmup: warmup{}, Fleet: rank{vm: i, vms: vms}, Zone: "north"}))
+	}
+	return f
+}
+
+// share carries the reports of every VM to all others.
+func (f *fleet) share() {
+	for i, from := range f.vms {
+		reports := from.Reports()
+		for j, to := range f.vms {
+			if i != j {
+				to.Observe(fmt.Sprintf("vm-%d", i), 1, reports, false)
+			}
+		}
+	}
+}
+
+func (f *fleet) choose(t *testing.T, vm int) *balancer.Choice {
+	t.Helper()
+	c, err := f.vms[vm].Choose(balancer.Request{Service: "orders"})
+	is.New(t).NoErr(err)
+	return c
+}
+
+var (
+	good = evidence.Outcome{Kind: evidence.Answered, Status: 200}
+	bad  = evidence.Outcome{Kind: evidence.Answered, Status: 500}
+)
+
+// TestFailureIsShared guards against a VM that sends requests to an instance of
+// which another VM has just had an error.
+func TestFailureIsShared(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFleet(3, 4)
+		c := f.choose(t, 0)
+		failed := c.Instance().ID()
+		c.Done(bad)
+		f.share()
+		for vm := range f.vms {
+			for range 20 {
+				c := f.choose(t, vm)
+				is.True(c.Instance().ID() != failed)
+				c.Done(good)
+			}
+		}
+		time.Sleep(time.Minute)
+		seen := false
+		for range 200 {
+			c := f.choose(t, 1)
+			seen = seen || c.Instance().ID() == failed
+			c.Done(good)
+		}
+		is.True(seen) // the instance is used again
+	})
+}
+
+// TestUnreachableIsNotShared guards against an instance that all VMs avoid because
+// one of them has no path to it.
+func TestUnreachableIsNotShared(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFleet(2, 2)
+		c := f.choose(t, 0)
+		lost := c.Instance().ID()
+		c.Done(evidence.Outcome{Kind: evidence.ConnectFailed})
+		f.share()
+		is.True(f.choose(t, 0).Instance().ID() != lost)
+		seen := false
+		for range 50 {
+			c := f.choose(t, 1)
+			seen = seen || c.Instance().ID() == lost
+			c.Done(good)
+		}
+		is.True(seen)
+	})
+}
+
+// TestLoadIsShared guards against VMs that choose by their own requests only and
+// send the fifth request to an instance with two slots while others are idle.
+func TestLoadIsShared(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFleet(8, 4)
+		at := make(map[string]int)
+		for vm := range f.vms {
+			at[f.choose(t, vm).Instance().ID()]++
+			f.share()
+		}
+		for id, n := range at {
+			if n != 2 {
+				t.Errorf("%s has %d of 8 requests at 4 instances", id, n)
+			}
+		}
+		is.Equal(len(at), 4)
+	})
+}
+
+// TestColdInstance guards against cold instances that get more than they bear from
+// all VMs together, with every VM's load pressing on them.
+func TestColdInstance(t *testing.T) {
+	for _, vms := range []int{1, 48, 1100} {
+		t.Run(fmt.Sprintf("%d VMs", vms), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newFleet(vms, 1)
+				f.directory.Chill("north", func(string) time.Time { return time.Now().Add(time.Hour) })
+				var sent []time.Time
+				for range 40 {
+					time.Sleep(50 * time.Millisecond)
+					for vm := range f.vms {
+						c, err := f.vms[vm].Choose(balancer.Request{Service: "orders"})
+						if errors.Is(err, balancer.ErrNoInstance) {
+							continue
+						}
+						sent = append(sent, time.Now())
+						c.Done(good)
+					}
+				}
+				is := is.New(t)
+				is.True(len(sent) > 0) // it is warmed up at all
+				for i := range sent {
+					n := 0
+					for _, at := range sent[i:] {
+						if at.Sub(sent[i]) < time.Second {
+							n++
+						}
+					}
+					// The users' bound: half as much again as the instance bears, and 5.
+					if float64(n) > warmupRate*1.5+5 {
+						t.Fatalf("%d requests within a second at a cold instance", n)
+					}
+				}
+			})
+		})
+	}
+}
+
+// TestStartedAgain guards against an instance that is avoided for what it did
+// before it started again, and against counts that go back.
+func TestStartedAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFleet(2, 1)
+		f.choose(t, 0).Done(bad)
+		f.share()
+		f.directory.Put(directory.NewInstance(directory.Registration{
+			ID: "i-0", Service: "orders", Address: "10.0.0.0:80", Zone: "north", Slots: 2, Started: 2,
+		}))
+		c := f.choose(t, 1)
+		is.Equal(c.View().Failures, 0)
+		c.Done(good)
+		f.choose(t, 0).Done(good)
+		f.share()
+		is.Equal(f.choose(t, 1).View().Failures, 0)
+	})
+}
+
+// TestBaseline guards against a VM that has just started and takes old failures of
+// the others for new ones.
+func TestBaseline(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFleet(1, 1)
+		old := []balancer.Report{{Instance: "i-0", Started: 50, Succeeded: 40, Failed: 10}}
+		f.vms[0].Observe("vm-9", 1, old, true)
+		is.Equal(f.choose(t, 0).View().Failures, 0)
+		old[0].Failed++
+		f.vms[0].Observe("vm-9", 1, old, true)
+		is.Equal(f.choose(t, 0).View().Failures, 1)
+	})
+}
+
+// TestVMGone guards against requests of a VM that is gone and still count as in
+// progress.
+func TestVMGone(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFleet(1, 1)
+		f.vms[0].Observe("vm-9", 1, []balancer.Report{{Instance: "i-0", InFlight: 2}}, false)
+		is.Equal(f.choose(t, 0).View().InFlight, 2)
+		f.vms[0].ForgetVM("vm-9")
+		is.Equal(f.choose(t, 0).View().InFlight, 1) // this VM's own
+	})
+}
--- a/internal/traffic/retry/fleet.go
+++ b/internal/traffic/retry/fleet.go
@@ -61,6 +61,13 @@
 	return &FleetBudget{config: c, start: time.Now(), services: make(map[string]*fleetWindow), changed: make(map[string]int)}
 }
 
+// Adjust changes the bounds.
+func (b *FleetBudget) Adjust(ratio, slack float64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.config.Ratio, b.config.Slack = ratio, slack
+}
+
 // Request counts a request, however often it is sent.
 func (b *FleetBudget) Request(service string) {
 	b.mu.Lock()
