balancer: choose by the probability that an instance is gray

A fixed longer time would also shut out sound instances, which fail 1 in 80.

Each instance has a two-state hidden Markov model fed by the outcomes that all VMs see; the cost of a request is its probability to fail times what its failure costs, plus the load. 421 and failed connections of two VMs without a success in between make all VMs avoid an instance; before, each VM found out for itself.

--- a/internal/fleet/entry/message.go
+++ b/internal/fleet/entry/message.go
@@ -33,6 +33,8 @@
 	Started   uint32
 	Succeeded uint32
 	Failed    uint32
+	Unreached uint32
+	Absent    uint32
 }
 
 type accountReport struct {
@@ -98,6 +100,7 @@
 		p := c.next(len(r.Instance) + 24)
 		p.Instances = append(p.Instances, instanceReport{
 			Instance: r.Instance, InFlight: r.InFlight, Started: r.Started, Succeeded: r.Succeeded, Failed: r.Failed,
+			Unreached: r.Unreached, Absent: r.Absent,
 		})
 	}
 	for _, r := range v.quota.Reports() {
@@ -150,6 +153,7 @@
 	for _, r := range p.Instances {
 		list = append(list, balancer.Report{
 			Instance: r.Instance, InFlight: max(r.InFlight, 0), Started: r.Started, Succeeded: r.Succeeded, Failed: r.Failed,
+			Unreached: r.Unreached, Absent: r.Absent,
 		})
 	}
 	return list
--- a/internal/target/balancer/balancer.go
+++ b/internal/target/balancer/balancer.go
@@ -222,7 +222,7 @@
 	now := time.Now()
 	c.rec.own--
 	c.rec.unpend(c)
-	urgent := c.rec.observeOwn(o, now, c.started)
+	urgent := c.rec.observeOwn(o, now)
 	b.note(c.rec, urgent)
 }
 
--- a/internal/target/balancer/balancer_test.go
+++ b/internal/target/balancer/balancer_test.go
@@ -195,11 +195,11 @@
 			ID: "i-0", Service: "orders", Address: "10.0.0.0:80", Zone: "north", Slots: 2, Started: 2,
 		}))
 		c := f.choose(t, 1)
-		is.Equal(c.View().Failures, 0)
+		is.True(c.View().Gray < 0.2)
 		c.Done(good)
 		f.choose(t, 0).Done(good)
 		f.share()
-		is.Equal(f.choose(t, 1).View().Failures, 0)
+		is.True(f.choose(t, 1).View().Gray < 0.2)
 	})
 }
 
@@ -211,10 +211,10 @@
 		f := newFleet(1, 1)
 		old := []balancer.Report{{Instance: "i-0", Started: 50, Succeeded: 40, Failed: 10}}
 		f.vms[0].Observe("vm-9", 1, old, true)
-		is.Equal(f.choose(t, 0).View().Failures, 0)
+		is.True(f.choose(t, 0).View().Gray < 0.2)
 		old[0].Failed++
 		f.vms[0].Observe("vm-9", 1, old, true)
-		is.Equal(f.choose(t, 0).View().Failures, 1)
+		is.True(f.choose(t, 0).View().Gray > 0.5)
 	})
 }
 
--- a/internal/target/balancer/record.go
+++ b/internal/target/balancer/record.go
@@ -1,7 +1,6 @@
 package balancer
 
 import (
-	"math"
 	"net/http"
 	"strconv"
 	"time"
@@ -13,16 +12,21 @@
 // Weights of the costs. One unit is the cost of waiting for one request that is in
 // progress at every slot of the instance.
 const (
-	// suspectCost keeps requests away from an instance that failed lately as long
-	// as another one is not far over its slots.
-	suspectCost = 12.0
-	// pathCost is the same for an instance that this VM could not reach.
+	// failureCost is the cost of a failed request that may not be sent again.
+	failureCost = 8.0
+	// repeatCost is the cost of a failed request that is sent again.
+	repeatCost = 4.0
+	// pathCost keeps requests away from an instance that this VM could not reach.
 	pathCost = 8.0
+	// absentCost keeps requests away from an instance that is not at its address.
+	absentCost = 16.0
 	// fullCost keeps requests away from an instance that has just refused one for
 	// want of room.
 	fullCost = 2.0
-	// historyCost weighs an instance's faded share of failures.
-	historyCost = 1.5
+	// busyCost is the cost of an instance with all slots but one in use.
+	busyCost = 0.3
+	// waitCost is the cost of waiting for each further request.
+	waitCost = 1.5
 	// remoteZoneCost prefers the own availability zone among equals.
 	remoteZoneCost = 0.02
 	// tieCost spreads requests over instances of equal cost.
@@ -31,20 +35,16 @@
 
 // Times of avoidance.
 const (
-	// suspectTime is how long an instance is avoided after a failure. The gray
-	// spells that users see last a few seconds.
-	suspectTime = 1500 * time.Millisecond
-	// maxSuspectTime bounds the avoidance after repeated failures.
-	maxSuspectTime = 6 * time.Second
 	// pathTime is how long this VM avoids an instance that it could not reach.
 	pathTime = 2 * time.Second
+	// absentTime is how long all VMs avoid an instance that is not at its address.
+	// By then its entry is gone or has changed.
+	absentTime = 5 * time.Second
+	// absentVMs is how many VMs must fail to reach an instance before all avoid it.
+	absentVMs = 2
 	// fullTime is how long an instance that refused for want of room is avoided:
 	// about the time of one request.
 	fullTime = 150 * time.Millisecond
-	// historyFade is the time in which a failure's weight falls to 1/e.
-	historyFade = 20 * time.Second
-	// historyPrior is the weight of the assumption that an instance is sound.
-	historyPrior = 6.0
 	// peerTimeout is how long another VM's word on its requests in progress counts.
 	peerTimeout = 5 * time.Second
 	// reportCopies is how often a change is reported, since datagrams get lost.
@@ -62,16 +62,21 @@
 	started   uint32
 	succeeded uint32
 	failed    uint32
+	unreached uint32
+	absent    uint32
 
 	peers map[string]peer
 
-	suspectUntil time.Time
-	failures     int // in a row
-	lastFailure  time.Time
-	pathUntil    time.Time
-	fullUntil    time.Time
-	good, bad    faded
-	recent       ring
+	condition   condition
+	lastFailure time.Time
+	lastSuccess time.Time
+	pathUntil   time.Time
+	absentUntil time.Time
+	fullUntil   time.Time
+	// unreachedBy holds when each VM last failed to reach the instance, since the
+	// last success of any VM.
+	unreachedBy map[string]time.Time
+	recent      ring
 }
 
 // peer is another VM's last report on the instance.
@@ -85,12 +90,13 @@
 type View struct {
 	InFlight    int
 	OwnInFlight int
-	Failures    int
+	// Gray is the probability that the instance fails most requests.
+	Gray        float64
 	LastFailure time.Duration // ago; 0 means never
 }
 
 func (r *record) view(now time.Time) View {
-	v := View{InFlight: r.inFlight(now), OwnInFlight: r.own, Failures: r.failures}
+	v := View{InFlight: r.inFlight(now), OwnInFlight: r.own, Gray: r.condition.probability(now)}
 	if !r.lastFailure.IsZero() {
 		v.LastFailure = now.Sub(r.lastFailure)
 	}
@@ -112,63 +118,91 @@
 
 // risk is the cost of what may go wrong at the instance.
 func (r *record) risk(now time.Time, idempotent bool) float64 {
-	cost := 0.0
-	if now.Before(r.suspectUntil) {
-		cost += suspectCost
+	weight := failureCost
+	if idempotent {
+		weight = repeatCost
 	}
+	cost := weight * r.condition.failure(now)
 	if now.Before(r.pathUntil) {
 		cost += pathCost
 	}
+	if now.Before(r.absentUntil) {
+		cost += absentCost
+	}
 	if now.Before(r.fullUntil) {
 		cost += fullCost
 	}
-	bad, good := r.bad.value(now), r.good.value(now)
-	history := historyCost * bad / (bad + good + historyPrior)
-	if idempotent {
-		history /= 2
-	}
-	return cost + history
+	return cost
 }
 
 // observeOwn takes in the end of a request of this VM, and reports whether other
 // VMs should learn of it at once.
-func (r *record) observeOwn(o evidence.Outcome, now, started time.Time) bool {
+func (r *record) observeOwn(o evidence.Outcome, now time.Time) bool {
 	switch verdictOf(o) {
 	case succeeded:
 		r.succeeded++
-		r.success(now, started)
-		return r.failures > 0
+		r.pathUntil = time.Time{}
+		r.success(now, 1)
 	case failed:
 		r.failed++
-		r.failure(now)
+		r.failure(now, 1)
 		return true
 	case unreachable:
+		r.unreached++
 		r.pathUntil = now.Add(pathTime)
+		r.notReached(ownName, now)
+		return true
+	case absent:
+		r.absent++
+		r.absentUntil = now.Add(absentTime)
+		return true
 	case full:
 		r.fullUntil = now.Add(fullTime)
 	}
 	return false
 }
 
-// success ends a suspicion if the request began after the last failure.
-func (r *record) success(now, started time.Time) {
-	r.good.add(now, 1)
-	r.pathUntil = time.Time{}
-	if started.After(r.lastFailure) && !now.Before(r.suspectUntil) {
-		r.failures = 0
+// ownName stands for this VM among those that could not reach an instance.
+const ownName = ""
+
+func (r *record) success(now time.Time, n uint32) {
+	for range min(n, maxObserved) {
+		r.condition.observe(now, false)
 	}
+	r.lastSuccess = now
+	r.absentUntil = time.Time{}
+	clear(r.unreachedBy)
 }
 
-func (r *record) failure(now time.Time) {
-	r.bad.add(now, 1)
-	if now.Sub(r.lastFailure) > suspectTime/2 {
-		r.failures++
+func (r *record) failure(now time.Time, n uint32) {
+	for range min(n, maxObserved) {
+		r.condition.observe(now, true)
 	}
 	r.lastFailure = now
-	d := min(time.Duration(float64(suspectTime)*math.Pow(1.5, float64(r.failures-1))), maxSuspectTime)
-	r.suspectUntil = now.Add(d)
 }
 
+// notReached notes that a VM could not reach the instance. If that happens to
+// several VMs and none gets an answer, the instance is away and not only a path.
+func (r *record) notReached(vm string, now time.Time) {
+	if r.unreachedBy == nil {
+		r.unreachedBy = make(map[string]time.Time)
+	}
+	r.unreachedBy[vm] = now
+	n := 0
+	for _, at := range r.unreachedBy {
+		if now.Sub(at) < pathTime {
+			n++
+		}
+	}
+	if n >= absentVMs {
+		r.absentUntil = now.Add(pathTime)
+	}
+}
+
+// maxObserved bounds the requests of one report that count, since more say nothing
+// more.
+const maxObserved = 16
+
 func (r *record) unpend(c *Choice) {
 	for i, p := range r.pending {
 		if p == c {
@@ -185,6 +219,7 @@
 	succeeded
 	failed
 	unreachable
+	absent
 	full
 )
 
@@ -197,6 +232,9 @@
 		}
 		return succeeded
 	case evidence.Refused:
+		if o.Status == http.StatusMisdirectedRequest {
+			return absent
+		}
 		return full
 	case evidence.ConnectFailed:
 		return unreachable
@@ -208,11 +246,10 @@
 
 // loadCost rises with the requests in progress, and steeply beyond the slots.
 func loadCost(inFlight, slots int) float64 {
-	x := float64(inFlight) / float64(slots)
 	if inFlight < slots {
-		return x / 2
+		return busyCost * float64(inFlight) / float64(slots)
 	}
-	return x
+	return 1 + waitCost*float64(inFlight-slots)/float64(slots)
 }
 
 // coldName names the right to use a cold instance in one second.
@@ -220,24 +257,6 @@
 	return id + "@" + strconv.FormatInt(second, 10)
 }
 
-// faded is a count that fades with time.
-type faded struct {
-	at time.Time
-	n  float64
-}
-
-func (f *faded) value(now time.Time) float64 {
-	if f.n == 0 {
-		return 0
-	}
-	return f.n * math.Exp(-now.Sub(f.at).Seconds()/historyFade.Seconds())
-}
-
-func (f *faded) add(now time.Time, n float64) {
-	f.n = f.value(now) + n
-	f.at = now
-}
-
 // ringSlots and ringSlot give a ring a memory of a little over a second.
 const (
 	ringSlots = 12
--- a/internal/target/balancer/report.go
+++ b/internal/target/balancer/report.go
@@ -10,6 +10,10 @@
 	Started   uint32
 	Succeeded uint32
 	Failed    uint32
+	// Unreached counts failed connections, and Absent answers of another instance
+	// at the address.
+	Unreached uint32
+	Absent    uint32
 }
 
 // Reports returns what has changed since the last reports, each change a few times.
@@ -26,6 +30,7 @@
 		list = append(list, Report{
 			Instance: id, InFlight: rec.own,
 			Started: rec.started, Succeeded: rec.succeeded, Failed: rec.failed,
+			Unreached: rec.unreached, Absent: rec.absent,
 		})
 		if left <= 1 {
 			delete(b.changed, id)
@@ -71,14 +76,17 @@
 		last = peer{}
 	}
 	r.recent.add(p.at, float64(since(last.report.Started, p.report.Started)))
+	if since(last.report.Unreached, p.report.Unreached) > 0 {
+		r.notReached(vm, p.at)
+	}
+	if since(last.report.Absent, p.report.Absent) > 0 {
+		r.absentUntil = p.at.Add(absentTime)
+	}
 	if n := since(last.report.Succeeded, p.report.Succeeded); n > 0 {
-		r.good.add(p.at, float64(n))
-		if !p.at.Before(r.suspectUntil) {
-			r.failures = 0
-		}
+		r.success(p.at, n)
 	}
-	if since(last.report.Failed, p.report.Failed) > 0 {
-		r.failure(p.at)
+	if n := since(last.report.Failed, p.report.Failed); n > 0 {
+		r.failure(p.at, n)
 	}
 }
 
--- a/internal/traffic/ingress/record.go
+++ b/internal/traffic/ingress/record.go
@@ -77,9 +77,9 @@
 	v := a.choice.View()
 	e.AddFloat64("cost", a.choice.Cost())
 	e.AddInt("in_flight", v.InFlight)
+	e.AddFloat64("gray", v.Gray)
 	if v.LastFailure > 0 {
 		e.AddDuration("last_failure", v.LastFailure)
-		e.AddInt("failures", v.Failures)
 	}
 	return nil
 }
