--- a/internal/fleet/entry/state.go
+++ b/internal/fleet/entry/state.go
@@ -50,7 +50,7 @@
 }
 
 // apply puts a record in force.
-func (v *VM) apply(t feed.Topic, r feed.Record) {
+func (v *VM) apply(t feed.Topic, r feed.Record, loaded bool) {
 	log := v.config.Logger
 	switch u := v.config.Decoder.Decode(t, r).(type) {
 	case feed.ConfigurationUpdate:
@@ -58,7 +58,7 @@
 	case feed.ZoneUpdate:
 		v.setZone(u, r.Offset)
 	case feed.InstanceUpdate:
-		v.putInstance(u, r.Offset)
+		v.putInstance(u, r.Offset, loaded)
 	case feed.InstanceRemoval:
 		if v.directory.Remove(u.ID) {
 			v.balancer.Forget(u.ID)
@@ -109,7 +109,7 @@
 	return s.Warmup()
 }
 
-func (v *VM) putInstance(u feed.InstanceUpdate, offset int64) {
+func (v *VM) putInstance(u feed.InstanceUpdate, offset int64, loaded bool) {
 	reg := u.Registration
 	if u.Cold > 0 {
 		reg.ColdUntil = time.Now().Add(u.Cold)
@@ -118,7 +118,11 @@
 	if known && old.Started() == reg.Started && old.ColdUntil().After(reg.ColdUntil) && u.Cold > 0 {
 		reg.ColdUntil = old.ColdUntil()
 	}
-	fresh := v.directory.Put(directory.NewInstance(reg))
+	i := directory.NewInstance(reg)
+	fresh := v.directory.Put(i)
+	if fresh && loaded {
+		v.balancer.Joined(i)
+	}
 	if fresh || known && old.Leaving() != reg.Leaving {
 		v.config.Logger.Info("instance listed", zap.String("instance", reg.ID), zap.String("service", reg.Service),
 			zap.String("address", reg.Address), zap.Bool("leaving", reg.Leaving), zap.Duration("cold", u.Cold), zap.Int64("offset", offset))
--- a/internal/fleet/feed/feed.go
+++ b/internal/fleet/feed/feed.go
@@ -115,6 +115,9 @@
 	retryDelay = 250 * time.Millisecond
 	// announceBytes bounds the records in one announcement.
 	announceBytes = 900
+	// recordOverhead is what a record takes in an announcement beside its key and
+	// value.
+	recordOverhead = 16
 	// returnGrace is how long a registration may stay away after the store could
 	// not be read: entries that lapsed meanwhile come back within 2 s.
 	returnGrace = 2 * time.Second
@@ -123,8 +126,10 @@
 // Config is what a Feed works with. All but Peers and Logger are required.
 type Config struct {
 	Source Source
-	// Apply takes in a record that is newer than the last one of its key.
-	Apply func(t Topic, r Record)
+	// Apply takes in a record that is newer than the last one of its key. It is
+	// called under a lock and must not call the Feed. loaded is false while the
+	// topic is read for the first time.
+	Apply func(t Topic, r Record, loaded bool)
 	// Announce tells the other VMs.
 	Announce func(a Announcement)
 	// Rank returns how many VMs come before this one for a name.
@@ -275,7 +280,7 @@
 		if f.config.Significant == nil || !known || f.config.Significant(t, old.Value, r.Value) {
 			news = append(news, r)
 		}
-		f.config.Apply(t, r)
+		f.config.Apply(t, r, p.loaded)
 	}
 	p.next = max(p.next, next)
 	return news
@@ -302,7 +307,7 @@
 			continue
 		}
 		delete(p.removals, key)
-		f.config.Apply(t, r.record)
+		f.config.Apply(t, r.record, p.loaded)
 	}
 }
 
--- a/internal/fleet/feed/feed_test.go
+++ b/internal/fleet/feed/feed_test.go
@@ -121,7 +121,7 @@
 	v := &vm{values: make(map[string]string)}
 	v.feed = feed.New(feed.Config{
 		Source: client{store: f.store, vm: i},
-		Apply: func(_ feed.Topic, r feed.Record) {
+		Apply: func(_ feed.Topic, r feed.Record, _ bool) {
 			v.mu.Lock()
 			defer v.mu.Unlock()
 			v.values[r.Key] = string(r.Value)
--- a/internal/fleet/feed/run.go
+++ b/internal/fleet/feed/run.go
@@ -133,21 +133,35 @@
 	if first {
 		f.config.Logger.Info("topic loaded", zap.Stringer("topic", t), zap.Int("records", len(records)), zap.Int64("next", next))
 	}
-	a := Announcement{Topic: t, From: from, Next: next, Age: time.Since(began), Whole: !whole}
-	a.Records, a.Whole = limit(news, a.Whole)
-	f.config.Announce(a)
+	for _, a := range split(news, Announcement{Topic: t, From: from, Next: next, Age: time.Since(began), Whole: !whole}) {
+		f.config.Announce(a)
+	}
 }
 
-// limit leaves records out that do not fit an announcement.
-func limit(records []Record, whole bool) ([]Record, bool) {
-	size := 0
+// split spreads the records of an announcement over several that fit a datagram
+// each. A record that fits none is left out, and its announcement is not whole.
+func split(records []Record, a Announcement) []Announcement {
+	if !a.Whole {
+		return []Announcement{a}
+	}
+	var list []Announcement
+	part, size := a, 0
 	for _, r := range records {
-		size += len(r.Key) + len(r.Value) + 16
-	}
-	if size > announceBytes {
-		return nil, false
+		n := len(r.Key) + len(r.Value) + recordOverhead
+		if size > 0 && size+n > announceBytes {
+			part.Next = r.Offset
+			list = append(list, part)
+			part = a
+			part.From, size = r.Offset, 0
+		}
+		size += n
+		if n > announceBytes {
+			part.Whole = false
+			continue
+		}
+		part.Records = append(part.Records, r)
 	}
-	return records, whole
+	return append(list, part)
 }
 
 func (f *Feed) failed(t Topic, err error) {
--- a/internal/target/balancer/balancer.go
+++ b/internal/target/balancer/balancer.go
@@ -66,6 +66,8 @@
 	// Idempotent requests may fail at little cost, so they are the first at an
 	// instance that failed lately.
 	Idempotent bool
+	// Bytes is the length of the request's body, which should not cross zones.
+	Bytes int64
 	// Exclude lists the instances that the request was sent to before.
 	Exclude []string
 }
@@ -128,7 +130,10 @@
 	cost := loadCost(rec.inFlight(now), rec.instance.Slots())
 	cost += rec.risk(now, r.Idempotent)
 	if rec.instance.Zone() != b.config.Zone {
-		cost += remoteZoneCost
+		cost += remoteZoneCost + remoteByteCost*float64(r.Bytes)
+	}
+	if rec.joined(now) {
+		cost -= joinedBonus
 	}
 	return cost + rand.Float64()*tieCost, true
 }
@@ -165,6 +170,14 @@
 	return rec
 }
 
+// Joined marks an instance that was added to a service in operation. It gets a
+// first request soon, so that it is known when it is needed.
+func (b *Balancer) Joined(i *directory.Instance) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.record(i).joinedAt = time.Now()
+}
+
 // Forget drops what is known of an instance.
 func (b *Balancer) Forget(id string) {
 	b.mu.Lock()
--- a/internal/target/balancer/record.go
+++ b/internal/target/balancer/record.go
@@ -29,6 +29,12 @@
 	waitCost = 1.5
 	// remoteZoneCost prefers the own availability zone among equals.
 	remoteZoneCost = 0.02
+	// remoteByteCost is the cost of each byte of a body that crosses zones, which
+	// the platform charges for: an upload of 60 kB to another zone costs a tenth of
+	// a failed request.
+	remoteByteCost = 0.8 / 60e3
+	// joinedBonus brings an instance that has joined a first request.
+	joinedBonus = 3.0
 	// tieCost spreads requests over instances of equal cost.
 	tieCost = 0.1
 )
@@ -47,6 +53,8 @@
 	fullTime = 150 * time.Millisecond
 	// peerTimeout is how long another VM's word on its requests in progress counts.
 	peerTimeout = 5 * time.Second
+	// joinedTime is how long an instance that has joined waits for its first request.
+	joinedTime = 15 * time.Second
 	// reportCopies is how often a change is reported, since datagrams get lost.
 	reportCopies = 2
 )
@@ -77,6 +85,7 @@
 	// last success of any VM.
 	unreachedBy map[string]time.Time
 	recent      ring
+	joinedAt    time.Time
 }
 
 // peer is another VM's last report on the instance.
@@ -116,6 +125,20 @@
 
 func (r *record) cold(now time.Time) bool { return now.Before(r.instance.ColdUntil()) }
 
+// joined reports whether the instance has joined lately and no VM has sent it a
+// request.
+func (r *record) joined(now time.Time) bool {
+	if r.joinedAt.IsZero() || r.started > 0 || now.Sub(r.joinedAt) > joinedTime {
+		return false
+	}
+	for _, p := range r.peers {
+		if p.report.Started > 0 {
+			return false
+		}
+	}
+	return true
+}
+
 // risk is the cost of what may go wrong at the instance.
 func (r *record) risk(now time.Time, idempotent bool) float64 {
 	weight := failureCost
--- a/internal/traffic/ingress/exchange.go
+++ b/internal/traffic/ingress/exchange.go
@@ -51,7 +51,8 @@
 	prefix   []byte // what was read of a streamed body
 	header   http.Header
 
-	charged  bool // a token of the account was taken
+	charged  bool     // a token of the account was taken
+	tried    []string // instances, in the order of the attempts
 	attempts []*attempt
 	result   result
 }
@@ -237,9 +238,6 @@
 
 // request builds one attempt's request.
 func (x *exchange) request(instance string) *http.Request {
-	if x.header == nil {
-		x.header = x.towardsTarget()
-	}
 	h := maps.Clone(x.header)
 	names := &x.s.config.Headers
 	h.Set(names.Deadline, strconv.FormatInt(max(time.Until(x.deadline).Milliseconds(), 1), 10))
--- a/internal/traffic/ingress/forward.go
+++ b/internal/traffic/ingress/forward.go
@@ -52,8 +52,8 @@
 // reason to give up.
 func (x *exchange) forward() {
 	x.s.config.Budget.Request(x.service)
+	x.header = x.towardsTarget()
 	var last *attempt
-	sent, dials := 0, 0
 	for {
 		if time.Until(x.deadline) < minRemaining {
 			x.conclude(last, timedOut)
@@ -64,33 +64,45 @@
 			x.conclude(last, noInstance)
 			return
 		}
-		last = x.try(choice)
+		last = x.run(choice)
 		if last.good() {
 			x.relay(last)
 			return
 		}
-		if last.sent.Written() {
-			sent++
-		} else {
-			dials++
-		}
-		if why := x.again(last, sent, dials); why != "" {
+		if why := x.again(last); why != "" {
 			x.conclude(last, why)
 			return
 		}
 	}
 }
 
+// choose picks an instance that the request was not sent to yet.
 func (x *exchange) choose() (*balancer.Choice, error) {
-	tried := make([]string, 0, len(x.attempts))
+	choice, err := x.s.config.Balancer.Choose(balancer.Request{
+		Service: x.service, Idempotent: x.route.Idempotent(), Bytes: max(x.r.ContentLength, 0), Exclude: x.tried,
+	})
+	if err == nil {
+		x.tried = append(x.tried, choice.Instance().ID())
+	}
+	return choice, err
+}
+
+// sends returns how many instances the request was sent to, and how many could not
+// be reached.
+func (x *exchange) sends() (sent, unreached int) {
 	for _, a := range x.attempts {
-		tried = append(tried, a.choice.Instance().ID())
+		if a.sent.Written() {
+			sent++
+		} else {
+			unreached++
+		}
 	}
-	return x.s.config.Balancer.Choose(balancer.Request{Service: x.service, Idempotent: x.route.Idempotent(), Exclude: tried})
+	return sent, unreached
 }
 
 // again returns why the request is not sent again after a failed attempt, or "".
-func (x *exchange) again(a *attempt, sent, dials int) reason {
+func (x *exchange) again(a *attempt) reason {
+	sent, unreached := x.sends()
 	switch {
 	case x.ctx.Err() != nil:
 		return timedOut
@@ -101,7 +113,7 @@
 	case !x.replayable():
 		return failureOf(a)
 	case !a.sent.Written():
-		if dials >= maxDials {
+		if unreached >= maxDials {
 			return unreachable
 		}
 		return ""
@@ -133,12 +145,11 @@
 }
 
 // try makes one attempt and reads its answer.
-func (x *exchange) try(choice *balancer.Choice) *attempt {
+func (x *exchange) try(ctx context.Context, choice *balancer.Choice) *attempt {
 	began := time.Now()
 	a := &attempt{choice: choice}
-	x.attempts = append(x.attempts, a)
 	instance := choice.Instance()
-	a.sent = x.s.transport.Send(x.ctx, instance.Address(), x.request(instance.ID()), transport.Options{
+	a.sent = x.s.transport.Send(ctx, instance.Address(), x.request(instance.ID()), transport.Options{
 		MaxIdle:    x.maxIdle(),
 		Repeatable: x.route.Idempotent() && x.replayable(),
 		Interrupt:  x.body.Interrupt,
@@ -147,7 +158,7 @@
 		x.examine(a)
 	}
 	a.took = time.Since(began)
-	choice.Done(x.outcome(a))
+	choice.Done(x.outcome(ctx, a))
 	return a
 }
 
@@ -175,14 +186,14 @@
 }
 
 // outcome is what the balancer learns of an attempt.
-func (x *exchange) outcome(a *attempt) evidence.Outcome {
+func (x *exchange) outcome(ctx context.Context, a *attempt) evidence.Outcome {
 	o := evidence.Outcome{Kind: a.sent.Kind(), Status: a.sent.Status(), FirstByte: a.sent.FirstByte()}
 	switch {
 	case a.refused:
 		o.Kind = evidence.Refused
 	case a.answer == nil && o.Kind == evidence.Answered:
 		o.Kind = evidence.Malformed
-	case errors.Is(context.Cause(x.r.Context()), context.Canceled):
+	case errors.Is(context.Cause(ctx), context.Canceled), errors.Is(context.Cause(ctx), transport.ErrOvertaken):
 		o.Kind = evidence.Cancelled
 	}
 	return o
