--- a/internal/traffic/retry/fleet.go
+++ b/internal/traffic/retry/fleet.go
@@ -8,7 +8,7 @@
 const (
 	// fleetShare is the part of the allowed repeats that the VMs use, so that what
 	// two VMs spend before they hear of each other stays within the bound.
-	fleetShare = 0.75
+	fleetShare = 0.9
 	// reportCopies is how often a change is reported, since datagrams get lost.
 	reportCopies = 2
 )
