feed: a removal is not held for one VM's failed read

The log shows that the VM learned of the removal at once, held it for 2 s and applied it at 25.33 s: it took the store for away since its own last read, 5 s before, had failed; announcements of other VMs had kept it up to date all the while. Ruled out: late reads and lost announcements.

The store counts as away only when no proof came for 1.5 s from any VM. TestRemovalIsNotHeld failed first.

--- a/internal/fleet/feed/feed.go
+++ b/internal/fleet/feed/feed.go
@@ -118,6 +118,9 @@
 	// recordOverhead is what a record takes in an announcement beside its key and
 	// value.
 	recordOverhead = 16
+	// awayAfter is the age of the last proof from which the store counts as having
+	// been away: no VM that is heard could read it.
+	awayAfter = 1500 * time.Millisecond
 	// returnGrace is how long a registration may stay away after the store could
 	// not be read: entries that lapsed meanwhile come back within 2 s.
 	returnGrace = 2 * time.Second
@@ -160,8 +163,8 @@
 	loaded   bool
 	ahead    int64     // how far another VM is known to have read
 	aheadVM  string    // that VM
-	lost     bool      // the last read failed
-	regained time.Time // when a read succeeded after failed ones
+	lost     bool      // this VM's last read failed
+	regained time.Time // when a proof came after a time without any
 	removals map[string]removal
 }
 
@@ -247,12 +250,12 @@
 	behind := a.Next > p.next
 	switch {
 	case !behind:
-		if a.Next == p.next && began.After(p.verified) {
-			p.verified = began
+		if a.Next == p.next {
+			p.prove(began)
 		}
 	case a.Whole && a.From <= p.next:
+		p.prove(began)
 		f.apply(a.Topic, a.Records, a.Next)
-		p.verified = began
 		behind = false
 	}
 	f.mu.Unlock()
@@ -286,13 +289,23 @@
 	return news
 }
 
+// prove notes a read that began at a time and proved what is known to be the end.
+func (p *progress) prove(began time.Time) {
+	if p.loaded && began.Sub(p.verified) > awayAfter {
+		p.regained = time.Now()
+	}
+	if began.After(p.verified) {
+		p.verified = began
+	}
+}
+
 // holdRemoval keeps the registration of an instance for a moment when the store
 // was away: its entry may have lapsed only because the instance could not renew it.
 func (p *progress) holdRemoval(t Topic, r Record) bool {
 	if t != Instances || r.Value != nil {
 		return false
 	}
-	if !p.lost && time.Since(p.regained) > returnGrace {
+	if time.Since(p.regained) > returnGrace {
 		return false
 	}
 	p.removals[r.Key] = removal{record: r, due: time.Now().Add(returnGrace)}
--- a/internal/fleet/feed/feed_test.go
+++ b/internal/fleet/feed/feed_test.go
@@ -342,3 +342,22 @@
 		f.expect(t, "config", "2")
 	})
 }
+
+// TestRemovalIsNotHeld guards against a VM that takes the store for away because
+// its own last read failed, and keeps an instance that has left though others
+// follow the store all the while.
+func TestRemovalIsNotHeld(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(2)
+		defer f.stop()
+		f.store.put(feed.Instances, "i-1", "ready")
+		time.Sleep(3 * time.Second)
+		f.store.mu.Lock()
+		f.store.down = func(vm int) bool { return vm == 0 }
+		f.store.mu.Unlock()
+		time.Sleep(3 * time.Second)
+		f.store.put(feed.Instances, "i-1", "")
+		time.Sleep(1500 * time.Millisecond)
+		f.expect(t, "i-1", "")
+	})
+}
--- a/internal/fleet/feed/run.go
+++ b/internal/fleet/feed/run.go
@@ -114,9 +114,10 @@
 	f.mu.Lock()
 	p := &f.topics[t]
 	if p.lost {
-		p.lost, p.regained = false, time.Now()
+		p.lost = false
 		f.config.Logger.Info("store answers again", zap.Stringer("topic", t), zap.Duration("proof_age", time.Since(p.verified)))
 	}
+	p.prove(began)
 	var news []Record
 	if whole {
 		news = f.replace(t, records, next)
@@ -125,9 +126,6 @@
 	}
 	first := !p.loaded
 	p.loaded = true
-	if began.After(p.verified) {
-		p.verified = began
-	}
 	f.expire(t, time.Now())
 	f.mu.Unlock()
 	if first {
