gossip, balancer, retry: owners of cold instances, floor while requests go unserved

After the loss of a zone its 16 VMs started again and the store was slow; each knew nobody, took itself for the one that may use the instance, and sent it a first request. A cold instance now belongs to one VM among all members, the silent ones included, and to none before the list of members was read. An account over its rate had 30% of the requests refused while the others went to the few instances known to be good. While more than 5% of a service's requests end without a good answer, instances without a request for 1.3 s get one until 0.8 of them have. TestFloor fails without the change. Ruled out: differing member lists (VMs of the other zones agreed).

--- a/internal/fleet/entry/entry.go
+++ b/internal/fleet/entry/entry.go
@@ -70,6 +70,8 @@
 	// RetryRatio and RetrySlack bound the repeats of requests over all VMs.
 	RetryRatio float64
 	RetrySlack float64
+	// FirstStart says that the whole fleet starts for the first time.
+	FirstStart bool
 	// Grace is the time from the start of a planned stop to its end.
 	Grace time.Duration
 
@@ -151,9 +153,10 @@
 	})
 	v.balancer = balancer.New(balancer.Config{
 		Directory: &v.directory, Warmup: v, Fleet: v.gossip, Zone: c.Zone, Changed: v.gossip.Changed,
+		Unserved: func(service string) float64 { return v.budget.UnservedShare(service) },
 	})
 	v.quota = quota.New(quota.Config{Presence: v.gossip, Changed: v.gossip.Changed})
-	v.budget = retry.NewFleetBudget(retry.FleetConfig{Ratio: c.RetryRatio, Slack: c.RetrySlack, Heard: v.gossip.Heard})
+	v.budget = retry.NewFleetBudget(retry.FleetConfig{Ratio: c.RetryRatio, Slack: c.RetrySlack, Heard: v.gossip.Heard, FirstStart: c.FirstStart})
 	v.feed = feed.New(feed.Config{
 		Source: c.Source, Apply: v.apply, Announce: v.announce, Rank: v.gossip.Rank, Peers: v,
 		Significant: c.Decoder.Significant, Logger: c.Logger,
--- a/internal/fleet/entry/message.go
+++ b/internal/fleet/entry/message.go
@@ -48,6 +48,7 @@
 	Service  string
 	Requests uint32
 	Repeats  uint32
+	Unserved uint32
 }
 
 // size returns about how many bytes the payload takes, from above.
@@ -109,7 +110,7 @@
 	}
 	for _, r := range v.budget.Reports() {
 		p := c.next(len(r.Service) + 24)
-		p.Services = append(p.Services, serviceReport{Service: r.Service, Requests: r.Requests, Repeats: r.Repeats})
+		p.Services = append(p.Services, serviceReport{Service: r.Service, Requests: r.Requests, Repeats: r.Repeats, Unserved: r.Unserved})
 	}
 	if len(c.list) == 0 {
 		c.list = append(c.list, payload{})
@@ -170,7 +171,7 @@
 func (p *payload) retryReports() []retry.Report {
 	list := make([]retry.Report, 0, len(p.Services))
 	for _, r := range p.Services {
-		list = append(list, retry.Report{Service: r.Service, Requests: r.Requests, Repeats: r.Repeats})
+		list = append(list, retry.Report{Service: r.Service, Requests: r.Requests, Repeats: r.Repeats, Unserved: r.Unserved})
 	}
 	return list
 }
--- a/internal/fleet/gossip/gossip.go
+++ b/internal/fleet/gossip/gossip.go
@@ -11,7 +11,7 @@
 //
 //	g := gossip.New(gossip.Config{Self: member, Conn: conn, Receive: receive, Compose: compose})
 //	group.Go(func() error { return g.Run(ctx) })
-//	g.Meet(other)      // a member from the platform's list
+//	g.MeetAll(listed)  // the platform's list of members
 //	g.Changed(urgent)  // there is something to send
 package gossip
 
@@ -95,6 +95,7 @@
 
 	mu       sync.Mutex
 	members  map[string]*contact
+	listed   bool // the platform's list was read
 	sequence uint64
 	stats    Stats
 }
@@ -123,8 +124,17 @@
 	return &Gossip{config: c, wake: make(chan bool, 1), members: make(map[string]*contact)}
 }
 
-// Meet adds a VM that the platform lists.
-func (g *Gossip) Meet(m Member) {
+// MeetAll adds the VMs that the platform lists, this one among them.
+func (g *Gossip) MeetAll(list []Member) {
+	for _, m := range list {
+		g.meet(m)
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.listed = true
+}
+
+func (g *Gossip) meet(m Member) {
 	if m.Name == g.config.Self.Name || m.Name == "" || !m.Address.IsValid() {
 		return
 	}
--- a/internal/fleet/gossip/gossip_test.go
+++ b/internal/fleet/gossip/gossip_test.go
@@ -135,9 +135,11 @@
 			v.gone = append(v.gone, name)
 		},
 	})
+	var listed []gossip.Member
 	for _, other := range f.vms {
-		v.gossip.Meet(other.member)
+		listed = append(listed, other.member)
 	}
+	v.gossip.MeetAll(listed)
 	ctx, cancel := context.WithCancel(context.Background())
 	v.cancel = cancel
 	f.group.Go(func() error { return v.gossip.Run(ctx) })
@@ -303,6 +305,41 @@
 	})
 }
 
+// TestOwner guards against two VMs that both own a name because they do not hear
+// each other, as after the loss of a zone, and against a VM that knows nobody yet
+// and owns everything.
+func TestOwner(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFleet(2, 5)
+		defer f.stop()
+		time.Sleep(3 * time.Second)
+		owners := func(name string) int {
+			n := 0
+			for _, v := range f.vms {
+				if v.gossip.Owns(name) {
+					n++
+				}
+			}
+			return n
+		}
+		for n := range 100 {
+			is.Equal(owners(fmt.Sprint("name-", n)), 1)
+		}
+		f.net.mu.Lock()
+		f.net.cut = func(string, string) bool { return true }
+		f.net.mu.Unlock()
+		time.Sleep(5 * time.Second)
+		for n := range 100 {
+			is.Equal(owners(fmt.Sprint("name-", n)), 1)
+		}
+		fresh := gossip.New(gossip.Config{Self: gossip.Member{Name: "vm-fresh"}})
+		is.True(!fresh.Owns("name"))
+		fresh.MeetAll(nil)
+		is.True(fresh.Owns("name"))
+	})
+}
+
 // TestMalformed guards against a datagram from elsewhere that stops the VM.
 func TestMalformed(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/fleet/gossip/presence.go
+++ b/internal/fleet/gossip/presence.go
@@ -65,9 +65,29 @@
 	return rank
 }
 
-// Designated reports whether this VM comes first for a name.
+// Designated reports whether this VM comes first for a name among the present
+// members. VMs that do not hear each other may both be.
 func (g *Gossip) Designated(name string) bool { return g.Rank(name) == 0 }
 
+// Owns reports whether this VM comes first for a name among all members, the silent
+// ones included. At most one of the VMs that know the same members does, whether
+// they hear each other or not; none does while the first one is gone. A VM that has
+// not read the list of members owns nothing.
+func (g *Gossip) Owns(name string) bool {
+	own := weight(name, g.config.Self.Name)
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if !g.listed {
+		return false
+	}
+	for _, c := range g.members {
+		if weight(name, c.member.Name) > own {
+			return false
+		}
+	}
+	return true
+}
+
 // Size returns the number of members, this VM included.
 func (g *Gossip) Size() int {
 	g.mu.Lock()
--- a/internal/target/balancer/balancer.go
+++ b/internal/target/balancer/balancer.go
@@ -44,9 +44,9 @@
 
 // Fleet tells which VM may use a cold instance in the present second.
 type Fleet interface {
-	// Designated reports whether this VM is the one that the fleet agrees on for a
-	// name, as far as this VM knows the fleet.
-	Designated(name string) bool
+	// Owns reports whether a name is this VM's. It is at most one VM's, also while
+	// VMs do not hear each other.
+	Owns(name string) bool
 }
 
 // Config is what a Balancer works with. Directory is required.
@@ -56,6 +56,9 @@
 	Fleet     Fleet
 	// Zone is this VM's availability zone, which is preferred among equals.
 	Zone string
+	// Unserved returns the part of a service's latest requests that ended without a
+	// good answer, on all VMs. It may be nil.
+	Unserved func(service string) float64
 	// Changed is called when something was recorded that other VMs should learn
 	// soon. It may be nil.
 	Changed func(urgent bool)
@@ -92,8 +95,10 @@
 func (b *Balancer) Choose(r Request) (*Choice, error) {
 	serving := b.config.Directory.Serving(r.Service)
 	now := time.Now()
+	troubled := b.config.Unserved != nil && b.config.Unserved(r.Service) > troubleShare
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	spread := troubled && b.isNarrow(serving, now)
 	best, bestCost := (*record)(nil), 0.0
 	for _, i := range serving {
 		if slices.Contains(r.Exclude, i.ID()) {
@@ -101,6 +106,9 @@
 		}
 		rec := b.record(i)
 		cost, ok := b.cost(rec, r, now)
+		if spread && !rec.usedLately(now) {
+			cost -= spreadBonus
+		}
 		if ok && (best == nil || cost < bestCost) {
 			best, bestCost = rec, cost
 		}
@@ -111,12 +119,25 @@
 	return b.start(best, bestCost, now), nil
 }
 
+// isNarrow reports whether the requests of all VMs go to too small a part of a
+// service's instances.
+func (b *Balancer) isNarrow(serving []*directory.Instance, now time.Time) bool {
+	used := 0
+	for _, i := range serving {
+		if b.record(i).usedLately(now) {
+			used++
+		}
+	}
+	return float64(used) < floorShare*float64(len(serving))
+}
+
 // start counts a request at an instance.
 func (b *Balancer) start(rec *record, cost float64, now time.Time) *Choice {
 	c := &Choice{b: b, rec: rec, instance: rec.instance, cost: cost, before: rec.view(now)}
 	rec.own++
 	rec.started++
 	rec.recent.add(now, 1)
+	rec.lastStart = now
 	b.note(rec, false)
 	return c
 }
@@ -150,7 +171,7 @@
 		return true
 	}
 	second := now.Unix()
-	if b.config.Fleet != nil && !b.config.Fleet.Designated(coldName(rec.instance.ID(), second)) {
+	if b.config.Fleet != nil && !b.config.Fleet.Owns(coldName(rec.instance.ID(), second)) {
 		return false
 	}
 	if rec.recent.sum(now, time.Second) >= rate {
--- a/internal/target/balancer/balancer_test.go
+++ b/internal/target/balancer/balancer_test.go
@@ -24,10 +24,10 @@
 	directory directory.Directory
 }
 
-// rank lets one VM a name be designated, as rendezvous hashing does.
+// rank gives each name to one VM, as rendezvous hashing does.
 type rank struct{ vm, vms int }
 
-func (r rank) Designated(name string) bool {
+func (r rank) Owns(name string) bool {
 	h := 0
 	for _, c := range name {
 		h = (h*31 + int(c)) % 1000003
@@ -219,6 +219,41 @@
 	})
 }
 
+// TestFloor guards against requests that all go to a few instances while many end
+// without a good answer, for example because one account is over its rate.
+func TestFloor(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		unserved := 0.0
+		f := newFleet(8, 14)
+		for i := range f.vms {
+			f.vms[i] = balancer.New(balancer.Config{Directory: &f.directory, Zone: "north", Unserved: func(string) float64 { return unserved }})
+		}
+		play := func() int {
+			used := make(map[string]bool)
+			for tick := range 80 { // 2 s, 40 requests a second that take 100 ms
+				c := f.choose(t, tick%len(f.vms))
+				used[c.Instance().ID()] = true
+				time.AfterFunc(100*time.Millisecond, func() { c.Done(good) })
+				time.Sleep(25 * time.Millisecond)
+				f.share()
+			}
+			return len(used)
+		}
+		for i := range 5 { // five instances look gray
+			c := f.choose(t, i)
+			c.Done(bad)
+			f.share()
+		}
+		play()
+		is.True(play() < 10) // the failed ones are left alone
+		unserved = 0.3
+		play()
+		is.True(float64(play()) >= 0.7*14)
+		time.Sleep(time.Second)
+	})
+}
+
 // TestColdInstance guards against cold instances that get more than they bear from
 // all VMs together, with every VM's load pressing on them.
 func TestColdInstance(t *testing.T) {
--- a/internal/target/balancer/record.go
+++ b/internal/target/balancer/record.go
@@ -39,6 +39,22 @@
 	tieCost = 0.1
 )
 
+// While many requests of a service end without a good answer, its requests must
+// not go to a few instances only: what looks like the instances' fault may not be.
+const (
+	// troubleShare is the part of requests without a good answer from which that
+	// holds. Users' bound is a tenth.
+	troubleShare = 0.05
+	// floorShare is the part of the instances that get requests then. Users' bound
+	// is 0.7.
+	floorShare = 0.8
+	// spreadBonus brings an instance its requests then, also if it failed lately.
+	spreadBonus = 10.0
+	// usedTime is how long an instance counts as used after a request. The users
+	// look at 2 s.
+	usedTime = 1300 * time.Millisecond
+)
+
 // Times of avoidance.
 const (
 	// pathTime is how long this VM avoids an instance that it could not reach.
@@ -84,6 +100,7 @@
 	// last success of any VM.
 	unreachedBy map[string]time.Time
 	recent      ring
+	lastStart   time.Time // of a request of any VM
 	joinedAt    time.Time
 }
 
@@ -124,6 +141,9 @@
 
 func (r *record) cold(now time.Time) bool { return now.Before(r.instance.ColdUntil()) }
 
+// usedLately reports whether the instance got a request of any VM lately.
+func (r *record) usedLately(now time.Time) bool { return now.Sub(r.lastStart) < usedTime }
+
 // joined reports whether the instance has joined lately and no VM has sent it a
 // request.
 func (r *record) joined(now time.Time) bool {
--- a/internal/target/balancer/report.go
+++ b/internal/target/balancer/report.go
@@ -75,7 +75,10 @@
 	case last.incarnation != p.incarnation:
 		last = peer{}
 	}
-	r.recent.add(p.at, float64(since(last.report.Started, p.report.Started)))
+	if n := since(last.report.Started, p.report.Started); n > 0 {
+		r.recent.add(p.at, float64(n))
+		r.lastStart = p.at
+	}
 	if since(last.report.Unreached, p.report.Unreached) > 0 {
 		r.notReached(vm, p.at)
 	}
--- a/internal/traffic/ingress/exchange.go
+++ b/internal/traffic/ingress/exchange.go
@@ -76,6 +76,9 @@
 // end frees what the exchange holds and records the decision.
 func (x *exchange) end() {
 	x.cancel()
+	if x.service != "" && x.result.reason != answered && x.result.reason != callerLeft && x.result.reason != unknownKey {
+		x.s.config.Budget.Unserved(x.service)
+	}
 	x.record()
 }
 
@@ -117,6 +120,7 @@
 	}
 	x.route = route
 	x.service = route.Service()
+	x.s.config.Budget.Request(x.service)
 	return nil
 }
 
--- a/internal/traffic/ingress/fake_test.go
+++ b/internal/traffic/ingress/fake_test.go
@@ -204,7 +204,7 @@
 	b := &bench{t: t, table: table(t)}
 	b.server = ingress.New(ingress.Config{
 		Table: b.current, Balancer: balancer.New(balancer.Config{Directory: &d, Zone: "north"}),
-		Quota: quota.New(quota.Config{}), Budget: retry.NewFleetBudget(retry.FleetConfig{Ratio: 0.2, Slack: 64}), Headers: headers,
+		Quota: quota.New(quota.Config{}), Budget: retry.NewFleetBudget(retry.FleetConfig{Ratio: 0.2, Slack: 64, FirstStart: true}), Headers: headers,
 	})
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	is.New(t).NoErr(err)
--- a/internal/traffic/ingress/forward.go
+++ b/internal/traffic/ingress/forward.go
@@ -51,7 +51,6 @@
 // forward sends the request to instances until there is an answer to pass on or a
 // reason to give up.
 func (x *exchange) forward() {
-	x.s.config.Budget.Request(x.service)
 	x.header = x.towardsTarget()
 	var last *attempt
 	for {
--- a/internal/traffic/retry/fleet.go
+++ b/internal/traffic/retry/fleet.go
@@ -23,6 +23,9 @@
 	// included. VMs that are not heard may use their part of the slack. It may be
 	// nil.
 	Heard func() float64
+	// FirstStart says that the whole fleet starts for the first time, so that
+	// nothing was spent before.
+	FirstStart bool
 }
 
 // FleetBudget bounds the repeats at each service over all VMs. Own counts are
@@ -43,16 +46,23 @@
 const fleetSlots = slots + 2
 
 type fleetWindow struct {
-	counts   [fleetSlots]count
-	requests uint32 // of this VM since its start
-	repeats  uint32
-	peers    map[string]fleetPeer
+	counts [fleetSlots]fleetCount
+	own    Report // of this VM since its start
+	peers  map[string]fleetPeer
 }
 
-func (w *fleetWindow) at(now int64) *count {
+// fleetCount counts one second.
+type fleetCount struct {
+	second   int64
+	requests int
+	repeats  int
+	unserved int
+}
+
+func (w *fleetWindow) at(now int64) *fleetCount {
 	c := &w.counts[now%int64(fleetSlots)]
 	if c.second != now {
-		*c = count{second: now}
+		*c = fleetCount{second: now}
 	}
 	return c
 }
@@ -64,7 +74,7 @@
 			requests += c.requests
 		}
 		if age <= int64(slots) {
-			repeats += c.retries
+			repeats += c.repeats
 		}
 	}
 	return requests, repeats
@@ -80,6 +90,8 @@
 	Service  string
 	Requests uint32
 	Repeats  uint32
+	// Unserved counts requests that ended without a good answer.
+	Unserved uint32
 }
 
 // NewFleetBudget returns a budget without requests.
@@ -99,11 +111,43 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	w := b.service(service)
-	w.requests++
+	w.own.Requests++
 	w.at(b.second()).requests++
 	b.changed[service] = reportCopies
 }
 
+// Unserved counts a request that ended without a good answer.
+func (b *FleetBudget) Unserved(service string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	w := b.service(service)
+	w.own.Unserved++
+	w.at(b.second()).unserved++
+	b.changed[service] = reportCopies
+}
+
+// troubleSeconds is the time over which unserved requests are counted, in seconds.
+const troubleSeconds = 3
+
+// UnservedShare returns the part of the last seconds' requests that ended without a
+// good answer, on all VMs.
+func (b *FleetBudget) UnservedShare(service string) float64 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	now := b.second()
+	requests, unserved := 0, 0
+	for _, c := range b.service(service).counts {
+		if now-c.second < troubleSeconds {
+			requests += c.requests
+			unserved += c.unserved
+		}
+	}
+	if requests == 0 {
+		return 0
+	}
+	return float64(unserved) / float64(requests)
+}
+
 // Take spends one repeat and reports whether there was one.
 func (b *FleetBudget) Take(service string) bool {
 	b.mu.Lock()
@@ -115,8 +159,8 @@
 	if float64(repeats+1) > allowed {
 		return false
 	}
-	w.repeats++
-	w.at(now).retries++
+	w.own.Repeats++
+	w.at(now).repeats++
 	b.changed[service] = reportCopies
 	return true
 }
@@ -124,7 +168,7 @@
 // slack returns this VM's part of the slack. A VM that has just started does not
 // know what was spent within the window, and all may have started together.
 func (b *FleetBudget) slack() float64 {
-	if time.Since(b.start) < Window+time.Second {
+	if !b.config.FirstStart && time.Since(b.start) < Window+time.Second {
 		return 0
 	}
 	if b.config.Heard == nil {
@@ -143,7 +187,7 @@
 func (b *FleetBudget) service(name string) *fleetWindow {
 	w := b.services[name]
 	if w == nil {
-		w = &fleetWindow{peers: make(map[string]fleetPeer)}
+		w = &fleetWindow{own: Report{Service: name}, peers: make(map[string]fleetPeer)}
 		b.services[name] = w
 	}
 	return w
@@ -159,8 +203,7 @@
 	defer b.mu.Unlock()
 	var list []Report
 	for service, left := range b.changed {
-		w := b.services[service]
-		list = append(list, Report{Service: service, Requests: w.requests, Repeats: w.repeats})
+		list = append(list, b.services[service].own)
 		if left <= 1 {
 			delete(b.changed, service)
 			continue
@@ -188,7 +231,8 @@
 		}
 		c := w.at(now)
 		c.requests += int(r.Requests - last.report.Requests)
-		c.retries += int(r.Repeats - last.report.Repeats)
+		c.repeats += int(r.Repeats - last.report.Repeats)
+		c.unserved += int(r.Unserved - last.report.Unserved)
 	}
 }
 
