--- a/internal/base/settings/logging.go
+++ b/internal/base/settings/logging.go
@@ -2,10 +2,11 @@
 
 import (
 	"os"
-	"slices"
 
 	"go.uber.org/zap"
 	"go.uber.org/zap/zapcore"
+
+	"chestnutbay.dev/chestnutbay/internal/report/logging"
 )
 
 // Format is the form of the log lines.
@@ -67,38 +68,7 @@
 
 // LoggerTo returns a logger that writes to w.
 func (l Logging) LoggerTo(w zapcore.WriteSyncer) *zap.Logger {
-	return zap.New(plainErrors{zapcore.NewCore(l.encoder(), w, l.level)})
-}
-
-// plainErrors writes errors as their message. The library would add the stack
-// of each error, which makes lines of several kilobytes.
-type plainErrors struct {
-	zapcore.Core
-}
-
-func (c plainErrors) With(fields []zapcore.Field) zapcore.Core {
-	return plainErrors{c.Core.With(plainFields(fields))}
-}
-
-func (c plainErrors) Check(e zapcore.Entry, ce *zapcore.CheckedEntry) *zapcore.CheckedEntry {
-	if !c.Enabled(e.Level) {
-		return ce
-	}
-	return ce.AddCore(e, c)
-}
-
-func (c plainErrors) Write(e zapcore.Entry, fields []zapcore.Field) error {
-	return c.Core.Write(e, plainFields(fields))
-}
-
-func plainFields(fields []zapcore.Field) []zapcore.Field {
-	list := slices.Clone(fields)
-	for i, f := range list {
-		if err, ok := f.Interface.(error); ok && f.Type == zapcore.ErrorType {
-			list[i] = zap.String(f.Key, err.Error())
-		}
-	}
-	return list
+	return zap.New(logging.PlainErrors(zapcore.NewCore(l.encoder(), w, l.level)))
 }
 
 func (l Logging) encoder() zapcore.Encoder {
--- a/internal/report/logging/sink.go
+++ b/internal/report/logging/sink.go
@@ -136,7 +136,7 @@
 	c.TimeKey = "time"
 	c.EncodeTime = zapcore.RFC3339NanoTimeEncoder
 	c.EncodeDuration = zapcore.MillisDurationEncoder
-	core := zapcore.NewCore(zapcore.NewJSONEncoder(c), s, level)
+	core := PlainErrors(zapcore.NewCore(zapcore.NewJSONEncoder(c), s, level))
 	sampled := zapcore.NewSamplerWithOptions(core, time.Second, sampleFirst, sampleThereafter,
 		zapcore.SamplerHook(func(_ zapcore.Entry, d zapcore.SamplingDecision) {
 			if d&zapcore.LogDropped != 0 {
--- a/internal/report/logging/sink_test.go
+++ b/internal/report/logging/sink_test.go
@@ -10,6 +10,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/ansel1/merry/v2"
 	"github.com/matryer/is"
 	"go.uber.org/zap"
 	"go.uber.org/zap/zapcore"
@@ -79,6 +80,21 @@
 	})
 }
 
+// TestErrors guards against lines of several kilobytes with the stack of an error.
+func TestErrors(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		out := &output{}
+		run(out, func(l *zap.Logger, _ *logging.Sink) {
+			l.With(zap.Error(merry.New("outer"))).Warn("failed", zap.NamedError("cause", merry.New("store away")))
+		})
+		line := out.lines(t)[0]
+		is.Equal(line["cause"], "store away")
+		is.Equal(line["error"], "outer")
+		is.Equal(len(line), 5) // with level, time and msg
+	})
+}
+
 // TestNotRead guards against requests that wait because nobody reads standard
 // output.
 func TestNotRead(t *testing.T) {
--- a/internal/traffic/ingress/record.go
+++ b/internal/traffic/ingress/record.go
@@ -31,6 +31,9 @@
 	if x.route != nil {
 		fields = append(fields, zap.String("route", x.route.Name()), zap.String("service", x.service))
 	}
+	if !x.deadline.IsZero() {
+		fields = append(fields, zap.Duration("allowed", x.deadline.Sub(x.start)))
+	}
 	if x.account != nil {
 		fields = append(fields, zap.String("account", x.account.Name()))
 		if x.result.reason == overRate {
