--- a/internal/report/logging/errors.go
+++ b/internal/report/logging/errors.go
@@ -39,4 +39,3 @@
 	}
 	return list
 }
-
--- a/internal/target/balancer/balancer.go
+++ b/internal/target/balancer/balancer.go
@@ -213,6 +213,7 @@
 	defer b.mu.Unlock()
 	for _, rec := range b.instances {
 		delete(rec.peers, vm)
+		delete(rec.busy, vm)
 	}
 }
 
--- a/internal/target/balancer/record.go
+++ b/internal/target/balancer/record.go
@@ -89,6 +89,8 @@
 	absent    uint32
 
 	peers map[string]peer
+	// busy holds the VMs with requests in progress at the instance.
+	busy map[string]activity
 
 	condition   condition
 	lastFailure time.Time
@@ -111,6 +113,13 @@
 	report      Report
 }
 
+// activity is what another VM has in progress at the instance, and since when that
+// is known.
+type activity struct {
+	at       time.Time
+	requests int
+}
+
 // View is what was known of an instance at one moment, for logs.
 type View struct {
 	InFlight    int
@@ -131,14 +140,28 @@
 // inFlight returns the requests in progress at the instance from all VMs.
 func (r *record) inFlight(now time.Time) int {
 	n := r.own
-	for _, p := range r.peers {
-		if now.Sub(p.at) < peerTimeout {
-			n += p.report.InFlight
+	for vm, a := range r.busy {
+		if now.Sub(a.at) >= peerTimeout {
+			delete(r.busy, vm)
+			continue
 		}
+		n += a.requests
 	}
 	return n
 }
 
+// setBusy notes what another VM has in progress.
+func (r *record) setBusy(vm string, now time.Time, requests int) {
+	if requests == 0 {
+		delete(r.busy, vm)
+		return
+	}
+	if r.busy == nil {
+		r.busy = make(map[string]activity)
+	}
+	r.busy[vm] = activity{at: now, requests: requests}
+}
+
 func (r *record) cold(now time.Time) bool { return now.Before(r.instance.ColdUntil()) }
 
 // usedLately reports whether the instance got a request of any VM lately.
--- a/internal/target/balancer/report.go
+++ b/internal/target/balancer/report.go
@@ -69,6 +69,7 @@
 	}
 	last, known := r.peers[vm]
 	r.peers[vm] = p
+	r.setBusy(vm, p.at, p.report.InFlight)
 	switch {
 	case !known && baseline:
 		return
--- /dev/null
+++ b/internal/traffic/retry/unserved_test.go
@@ -0,0 +1,29 @@
+package retry_test
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"chestnutbay.dev/chestnutbay/internal/traffic/retry"
+)
+
+// TestUnservedShare guards against a VM that sees only its own part of what goes
+// wrong, and against trouble that counts after it is over.
+func TestUnservedShare(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		b := retry.NewFleetBudget(retry.FleetConfig{})
+		is.Equal(b.UnservedShare("orders"), 0.0)
+		for range 10 {
+			b.Request("orders")
+		}
+		b.Unserved("orders")
+		b.Observe("vm-2", 1, []retry.Report{{Service: "orders", Requests: 10, Unserved: 4}}, false)
+		is.Equal(b.UnservedShare("orders"), 0.25)
+		time.Sleep(4 * time.Second)
+		is.Equal(b.UnservedShare("orders"), 0.0)
+	})
+}
