--- a/internal/fleet/feed/feed_test.go
+++ b/internal/fleet/feed/feed_test.go
@@ -102,12 +102,33 @@
 
 type fleet struct {
 	store *store
-	vms   []*vm
 	group errgroup.Group
+
+	mu  sync.Mutex
+	vms []*vm
 	// deaf VMs hear no announcements.
 	deaf map[int]bool
 }
 
+func (f *fleet) setDeaf(i int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.deaf[i] = true
+}
+
+// others returns the VMs but one that hear announcements.
+func (f *fleet) others(self int) []*vm {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var list []*vm
+	for i, v := range f.vms {
+		if i != self && !f.deaf[i] {
+			list = append(list, v)
+		}
+	}
+	return list
+}
+
 func newFleet(n int) *fleet {
 	f := &fleet{store: &store{}, deaf: make(map[int]bool)}
 	for range n {
@@ -127,17 +148,17 @@
 			v.values[r.Key] = string(r.Value)
 		},
 		Announce: func(a feed.Announcement) {
-			for j, other := range f.vms {
-				if j != i && !f.deaf[j] {
-					other.feed.Heard(fmt.Sprint("vm-", i), a)
-				}
+			for _, other := range f.others(i) {
+				other.feed.Heard(fmt.Sprint("vm-", i), a)
 			}
 		},
 		Rank:        func(string) int { return i },
 		Peers:       peers{f: f, self: i},
 		Significant: func(_ feed.Topic, before, now []byte) bool { return string(before) != string(now) },
 	})
+	f.mu.Lock()
 	f.vms = append(f.vms, v)
+	f.mu.Unlock()
 	ctx, cancel := context.WithCancel(context.Background())
 	v.cancel = cancel
 	f.group.Go(func() error { return v.feed.Run(ctx) })
@@ -156,10 +177,7 @@
 }
 
 func (p peers) State(_ context.Context, t feed.Topic, least int64, _ string) (feed.State, error) {
-	for i, v := range p.f.vms {
-		if i == p.self || p.f.deaf[i] {
-			continue
-		}
+	for _, v := range p.f.others(p.self) {
 		if s, ok := v.feed.State(t); ok && s.Next >= least {
 			return s, nil
 		}
@@ -266,7 +284,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		f := newFleet(3)
 		defer f.stop()
-		f.deaf[2] = true
+		f.setDeaf(2)
 		time.Sleep(3 * time.Second)
 		f.store.put(feed.Configuration, "config", "2")
 		time.Sleep(inForce)
--- a/internal/target/balancer/balancer_test.go
+++ b/internal/target/balancer/balancer_test.go
@@ -39,15 +39,11 @@
 
 func (warmup) WarmupRate(string) float64 { return warmupRate }
 
-func newFleet(vms, instances int, slots ...int) *fleet {
+func newFleet(vms, instances int) *fleet {
 	f := &fleet{}
-	n := 2
-	if len(slots) > 0 {
-		n = slots[0]
-	}
 	for i := range instances {
 		f.directory.Put(directory.NewInstance(directory.Registration{
-			ID: fmt.Sprintf("i-%d", i), Service: "orders", Address: fmt.Sprintf("10.0.0.%d:80", i), Zone: "north", Slots: n, Started: 1,
+			ID: fmt.Sprintf("i-%d", i), Service: "orders", Address: fmt.Sprintf("10.0.0.%d:80", i), Zone: "north", Slots: 2, Started: 1,
 		}))
 	}
 	for i := range vms {
