--- a/internal/target/balancer/balancer.go
+++ b/internal/target/balancer/balancer.go
@@ -106,7 +106,7 @@
 		}
 		rec := b.record(i)
 		cost, ok := b.cost(rec, r, now)
-		if spread && !rec.usedLately(now) {
+		if spread && !rec.usedLately(now) && b.ownsSpread(rec, now) {
 			cost -= spreadBonus
 		}
 		if ok && (best == nil || cost < bestCost) {
@@ -131,6 +131,12 @@
 	return float64(used) < floorShare*float64(len(serving))
 }
 
+// ownsSpread reports whether it is this VM that brings an unused instance its
+// requests now.
+func (b *Balancer) ownsSpread(rec *record, now time.Time) bool {
+	return b.config.Fleet == nil || b.config.Fleet.Owns(slotName(rec.instance.ID(), now.UnixNano()/int64(spreadSlot)))
+}
+
 // start counts a request at an instance.
 func (b *Balancer) start(rec *record, cost float64, now time.Time) *Choice {
 	c := &Choice{b: b, rec: rec, instance: rec.instance, cost: cost, before: rec.view(now)}
@@ -171,7 +177,7 @@
 		return true
 	}
 	second := now.Unix()
-	if b.config.Fleet != nil && !b.config.Fleet.Owns(coldName(rec.instance.ID(), second)) {
+	if b.config.Fleet != nil && !b.config.Fleet.Owns(slotName(rec.instance.ID(), second)) {
 		return false
 	}
 	if rec.recent.sum(now, time.Second) >= rate {
--- a/internal/target/balancer/record.go
+++ b/internal/target/balancer/record.go
@@ -44,10 +44,13 @@
 const (
 	// troubleShare is the part of requests without a good answer from which that
 	// holds. Users' bound is a tenth.
-	troubleShare = 0.05
+	troubleShare = 0.08
 	// floorShare is the part of the instances that get requests then. Users' bound
 	// is 0.7.
-	floorShare = 0.8
+	floorShare = 0.72
+	// spreadSlot is the time for which a VM owns the right to spread requests to an
+	// instance, so that not all VMs do at once.
+	spreadSlot = 500 * time.Millisecond
 	// spreadBonus brings an instance its requests then, also if it failed lately.
 	spreadBonus = 10.0
 	// usedTime is how long an instance counts as used after a request. The users
@@ -310,9 +313,9 @@
 	return 1 + waitCost*float64(inFlight-slots)/float64(slots)
 }
 
-// coldName names the right to use a cold instance in one second.
-func coldName(id string, second int64) string {
-	return id + "@" + strconv.FormatInt(second, 10)
+// slotName names a right to an instance for one slot of time.
+func slotName(id string, slot int64) string {
+	return id + "@" + strconv.FormatInt(slot, 10)
 }
 
 // ringSlots and ringSlot give a ring a memory of a little over a second.
