--- a/internal/target/balancer/balancer.go
+++ b/internal/target/balancer/balancer.go
@@ -100,12 +100,14 @@
 	defer b.mu.Unlock()
 	spread := troubled && b.isNarrow(serving, now)
 	best, bestCost := (*record)(nil), 0.0
+	tie := min(tieCost+tieInstanceCost*float64(len(serving)), maxTieCost)
 	for _, i := range serving {
 		if slices.Contains(r.Exclude, i.ID()) {
 			continue
 		}
 		rec := b.record(i)
 		cost, ok := b.cost(rec, r, now)
+		cost += tie * rand.Float64()
 		if spread && !rec.usedLately(now) && b.ownsSpread(rec, now) {
 			cost -= spreadBonus
 		}
@@ -162,7 +164,7 @@
 	if rec.joined(now) {
 		cost -= joinedBonus
 	}
-	return cost + rand.Float64()*tieCost, true
+	return cost, true
 }
 
 // admitsCold reports whether a cold instance may get one more request from this
--- a/internal/target/balancer/balancer_test.go
+++ b/internal/target/balancer/balancer_test.go
@@ -4,6 +4,7 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -195,6 +196,46 @@
 	})
 }
 
+// TestManyVMs guards against VMs that all choose the same instance before they hear
+// of each other: 100 VMs, 80 instances with 2 slots, 40 requests in progress, reports
+// every 100 ms.
+func TestManyVMs(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(100, 80)
+		random := rand.New(rand.NewPCG(3, 4))
+		var mu sync.Mutex
+		busy := make(map[string]int)
+		queued, total := 0, 0
+		for tick := range 2000 { // 10 s
+			for range 1 + tick%2 { // 300 a second on average
+				c := f.choose(t, random.IntN(len(f.vms)))
+				id := c.Instance().ID()
+				total++
+				mu.Lock()
+				if busy[id] >= 2 {
+					queued++
+				}
+				busy[id]++
+				mu.Unlock()
+				time.AfterFunc(130*time.Millisecond, func() {
+					mu.Lock()
+					busy[id]--
+					mu.Unlock()
+					c.Done(good)
+				})
+			}
+			time.Sleep(5 * time.Millisecond)
+			if tick%20 == 0 {
+				f.share()
+			}
+		}
+		time.Sleep(time.Second)
+		if share := float64(queued) / float64(total); share > 0.5 {
+			t.Errorf("%.2f of the requests wait though half of the slots are free", share)
+		}
+	})
+}
+
 // TestLoadIsShared guards against VMs that choose by their own requests only and
 // send the fifth request to an instance with two slots while others are idle.
 func TestLoadIsShared(t *testing.T) {
--- a/internal/target/balancer/record.go
+++ b/internal/target/balancer/record.go
@@ -30,13 +30,18 @@
 	// remoteZoneCost prefers the own availability zone among equals.
 	remoteZoneCost = 0.02
 	// remoteByteCost is the cost of each byte of a body that crosses zones, which
-	// the platform charges for: an upload of 60 kB to another zone costs a tenth of
-	// a failed request.
-	remoteByteCost = 0.8 / 60e3
+	// the platform charges for: an upload of 60 kB to another zone costs about a
+	// seventh of a failed request.
+	remoteByteCost = 1.2 / 60e3
 	// joinedBonus brings an instance that has joined a first request.
 	joinedBonus = 3.0
-	// tieCost spreads requests over instances of equal cost.
-	tieCost = 0.1
+	// tieCost, tieInstanceCost for each instance of the service, and maxTieCost bound
+	// the random part of a cost. It keeps VMs that know the same from choosing the
+	// same instance before they hear of each other, which happens the more often the
+	// larger a service is.
+	tieCost         = 0.1
+	tieInstanceCost = 0.0125
+	maxTieCost      = 1.0
 )
 
 // While many requests of a service end without a good answer, its requests must
