feed: an announcement reaches back only to what was news to its VM

Cause: a VM whose read was under way heard the record from another VM; its own read then held nothing new, and it announced the whole range without the record. A VM that had missed the first announcement took that for complete. Ruled out: the hold of removals after a gap (no VM logged one), the store (it answered all the while).

An announcement now begins where the VM had got to when its read ended. TestAnnouncedWhileReading failed first.

--- a/internal/fleet/feed/feed_test.go
+++ b/internal/fleet/feed/feed_test.go
@@ -21,7 +21,23 @@
 	records [2][]feed.Record
 	first   [2]int64
 	reads   int
-	down    func(vm int) bool
+	// delivered is how far the instances were read.
+	delivered int64
+	down      func(vm int) bool
+}
+
+// count returns how many calls were made.
+func (s *store) count() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.reads
+}
+
+// begun reports whether a read has taken in all records.
+func (s *store) begun() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.delivered == int64(len(s.records[feed.Instances]))
 }
 
 func (s *store) put(t feed.Topic, key, value string) {
@@ -83,6 +99,9 @@
 	if from < c.first[t] {
 		return nil, 0, feed.ErrExpired
 	}
+	if t == feed.Instances {
+		c.delivered = int64(len(c.records[t]))
+	}
 	return append([]feed.Record(nil), c.records[t][from:]...), int64(len(c.records[t])), nil
 }
 
@@ -379,3 +398,55 @@
 		f.expect(t, "i-1", "")
 	})
 }
+
+// slowSource answers reads as they were at their beginning, after a while.
+type slowSource struct {
+	client
+	delay time.Duration
+}
+
+func (s slowSource) Read(ctx context.Context, t feed.Topic, from int64) ([]feed.Record, int64, error) {
+	records, next, err := s.client.Read(ctx, t, from)
+	time.Sleep(s.delay)
+	return records, next, err
+}
+
+// TestAnnouncedWhileReading guards against an announcement that passes for whole and
+// lacks a record, because the reader had heard of it from another VM while its own
+// read was under way.
+func TestAnnouncedWhileReading(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := &store{}
+		s.put(feed.Instances, "i-1", "ready")
+		var announced []feed.Announcement
+		reader := feed.New(feed.Config{
+			Source:      slowSource{client: client{store: s}, delay: 200 * time.Millisecond},
+			Apply:       func(feed.Topic, feed.Record, bool) {},
+			Announce:    func(a feed.Announcement) { announced = append(announced, a) },
+			Rank:        func(string) int { return 0 },
+			Significant: func(_ feed.Topic, before, now []byte) bool { return string(before) != string(now) },
+		})
+		ctx, cancel := context.WithCancel(context.Background())
+		var group errgroup.Group
+		group.Go(func() error { return reader.Run(ctx) })
+		time.Sleep(time.Second)
+		s.put(feed.Instances, "i-1", "leaving")
+		for reader.Next(feed.Instances) == 1 && s.count() < 1000 {
+			time.Sleep(10 * time.Millisecond)
+			if s.begun() { // the read that brings the record is under way
+				reader.Heard("vm-2", feed.Announcement{
+					Topic: feed.Instances, From: 1, Next: 2, Whole: true,
+					Records: []feed.Record{{Offset: 1, Key: "i-1", Value: []byte("leaving")}},
+				})
+			}
+		}
+		time.Sleep(300 * time.Millisecond)
+		cancel()
+		group.Wait() //nolint:errcheck // Run returns nil.
+		for _, a := range announced {
+			lacks := a.Topic == feed.Instances && a.Whole && a.From <= 1 && a.Next >= 2 && len(a.Records) == 0
+			is.True(!lacks) // a VM that has read up to 1 would never learn of the record
+		}
+	})
+}
--- a/internal/fleet/feed/run.go
+++ b/internal/fleet/feed/run.go
@@ -118,6 +118,9 @@
 		f.config.Logger.Info("store answers again", zap.Stringer("topic", t), zap.Duration("proof_age", time.Since(p.verified)))
 	}
 	p.prove(began)
+	// What came from other VMs while the read was under way is not news here, so the
+	// announcement must not reach back beyond it.
+	from = max(from, p.next)
 	var news []Record
 	if whole {
 		news = f.replace(t, records, next)
@@ -131,7 +134,7 @@
 	if first {
 		f.config.Logger.Info("topic loaded", zap.Stringer("topic", t), zap.Int("records", len(records)), zap.Int64("next", next))
 	}
-	for _, a := range split(news, Announcement{Topic: t, From: from, Next: next, Age: time.Since(began), Whole: !whole}) {
+	for _, a := range split(news, Announcement{Topic: t, From: from, Next: max(from, next), Age: time.Since(began), Whole: !whole}) {
 		f.config.Announce(a)
 	}
 }
--- a/internal/target/balancer/balancer.go
+++ b/internal/target/balancer/balancer.go
@@ -4,15 +4,15 @@
 // heard, so no call to another VM stands between a caller and its answer.
 //
 // An instance with a gray failure fails requests while its health report is good.
-// One failed answer is enough to avoid the instance for a while on all VMs; the
-// first requests after that are those whose failure costs least.
+// From the outcomes of all VMs the balancer estimates the probability that an
+// instance is gray, and weighs what a failure costs against the wait elsewhere.
 //
 // # Usage
 //
-//	b := balancer.New(balancer.Config{Directory: &directory, Self: "vm-1"})
+//	b := balancer.New(balancer.Config{Directory: &directory, Zone: "north"})
 //	choice, err := b.Choose(balancer.Request{Service: "orders"})
 //	if err != nil {
-//		return err // a *Refusal says when to come back
+//		return err // ErrNoInstance
 //	}
 //	choice.Done(outcome)
 //
