outbox: one piece keeps what is still to be reported

Read through once more: quota, balancer and the retry budget each kept "changes with reports left" and the loop that counts them down; the VM mirrored their three report types for the encoding and copied each field both ways; the balancer held the counts of its reports one by one; the lookup of a service stood twice; Route.Serves had no caller. Now outbox.Changes serves the three, the report types carry their own encoding, and a record holds its report.

No behaviour changes and the datagrams have the same form.

--- a/internal/contract/routing/route.go
+++ b/internal/contract/routing/route.go
@@ -119,13 +119,3 @@
 	}
 	return splits[len(splits)-1].Service
 }
-
-// Serves reports whether any of the route's requests go to the service.
-func (r *Route) Serves(service string) bool {
-	for _, s := range r.config.Splits {
-		if s.Service == service && (s.Weight > 0 || len(r.config.Splits) == 1) {
-			return true
-		}
-	}
-	return false
-}
--- a/internal/fleet/entry/entry.go
+++ b/internal/fleet/entry/entry.go
@@ -185,15 +185,19 @@
 // WarmupRate returns the requests a second that a cold instance of a service bears
 // from all VMs together.
 func (v *VM) WarmupRate(service string) float64 {
+	if s, ok := v.service(service); ok {
+		return s.WarmupRate()
+	}
+	return 0
+}
+
+// service returns a service of the configuration in force.
+func (v *VM) service(name string) (*routing.Service, bool) {
 	t := v.table.Load()
 	if t == nil {
-		return 0
-	}
-	s, ok := t.Service(service)
-	if !ok {
-		return 0
+		return nil, false
 	}
-	return s.WarmupRate()
+	return t.Service(name)
 }
 
 // Run serves until ctx ends and the planned stop is over.
--- a/internal/fleet/entry/message.go
+++ b/internal/fleet/entry/message.go
@@ -20,37 +20,12 @@
 
 // payload is what one datagram carries between VMs. Short names keep it small.
 type payload struct {
-	Instances     []instanceReport    `cbor:"1,keyasint,omitempty"`
-	Accounts      []accountReport     `cbor:"2,keyasint,omitempty"`
-	Services      []serviceReport     `cbor:"3,keyasint,omitempty"`
+	Instances     []balancer.Report   `cbor:"1,keyasint,omitempty"`
+	Accounts      []quota.Report      `cbor:"2,keyasint,omitempty"`
+	Services      []retry.Report      `cbor:"3,keyasint,omitempty"`
 	Announcements []feed.Announcement `cbor:"4,keyasint,omitempty"`
 }
 
-type instanceReport struct {
-	_         struct{} `cbor:",toarray"`
-	Instance  string
-	InFlight  int
-	Started   uint32
-	Succeeded uint32
-	Failed    uint32
-	Unreached uint32
-	Absent    uint32
-}
-
-type accountReport struct {
-	_        struct{} `cbor:",toarray"`
-	Account  string
-	Admitted uint32
-}
-
-type serviceReport struct {
-	_        struct{} `cbor:",toarray"`
-	Service  string
-	Requests uint32
-	Repeats  uint32
-	Unserved uint32
-}
-
 // size returns about how many bytes the payload takes, from above.
 func (p *payload) size() int {
 	const entry = 24 // the counts and markers of one report
@@ -99,18 +74,15 @@
 	}
 	for _, r := range v.balancer.Reports() {
 		p := c.next(len(r.Instance) + 24)
-		p.Instances = append(p.Instances, instanceReport{
-			Instance: r.Instance, InFlight: r.InFlight, Started: r.Started, Succeeded: r.Succeeded, Failed: r.Failed,
-			Unreached: r.Unreached, Absent: r.Absent,
-		})
+		p.Instances = append(p.Instances, r)
 	}
 	for _, r := range v.quota.Reports() {
 		p := c.next(len(r.Account) + 24)
-		p.Accounts = append(p.Accounts, accountReport{Account: r.Account, Admitted: r.Admitted})
+		p.Accounts = append(p.Accounts, r)
 	}
 	for _, r := range v.budget.Reports() {
 		p := c.next(len(r.Service) + 24)
-		p.Services = append(p.Services, serviceReport{Service: r.Service, Requests: r.Requests, Repeats: r.Repeats, Unserved: r.Unserved})
+		p.Services = append(p.Services, r)
 	}
 	if len(c.list) == 0 {
 		c.list = append(c.list, payload{})
@@ -144,36 +116,9 @@
 	for _, a := range p.Announcements {
 		v.feed.Heard(vm, a)
 	}
-	v.balancer.Observe(vm, incarnation, p.balancerReports(), baseline)
-	v.quota.Observe(vm, incarnation, p.quotaReports(), v.limits, baseline)
-	v.budget.Observe(vm, incarnation, p.retryReports(), baseline)
-}
-
-func (p *payload) balancerReports() []balancer.Report {
-	list := make([]balancer.Report, 0, len(p.Instances))
-	for _, r := range p.Instances {
-		list = append(list, balancer.Report{
-			Instance: r.Instance, InFlight: max(r.InFlight, 0), Started: r.Started, Succeeded: r.Succeeded, Failed: r.Failed,
-			Unreached: r.Unreached, Absent: r.Absent,
-		})
-	}
-	return list
-}
-
-func (p *payload) quotaReports() []quota.Report {
-	list := make([]quota.Report, 0, len(p.Accounts))
-	for _, r := range p.Accounts {
-		list = append(list, quota.Report{Account: r.Account, Admitted: r.Admitted})
-	}
-	return list
-}
-
-func (p *payload) retryReports() []retry.Report {
-	list := make([]retry.Report, 0, len(p.Services))
-	for _, r := range p.Services {
-		list = append(list, retry.Report{Service: r.Service, Requests: r.Requests, Repeats: r.Repeats, Unserved: r.Unserved})
-	}
-	return list
+	v.balancer.Observe(vm, incarnation, p.Instances, baseline)
+	v.quota.Observe(vm, incarnation, p.Accounts, v.limits, baseline)
+	v.budget.Observe(vm, incarnation, p.Services, baseline)
 }
 
 // limits returns an account's rate and burst.
--- a/internal/fleet/entry/state.go
+++ b/internal/fleet/entry/state.go
@@ -98,15 +98,10 @@
 }
 
 func (v *VM) warmup(service string) time.Duration {
-	t := v.table.Load()
-	if t == nil {
-		return 0
+	if s, ok := v.service(service); ok {
+		return s.Warmup()
 	}
-	s, ok := t.Service(service)
-	if !ok {
-		return 0
-	}
-	return s.Warmup()
+	return 0
 }
 
 func (v *VM) putInstance(u feed.InstanceUpdate, offset int64, loaded bool) {
--- a/internal/limit/quota/quota.go
+++ b/internal/limit/quota/quota.go
@@ -22,11 +22,11 @@
 import (
 	"sync"
 	"time"
+
+	"chestnutbay.dev/chestnutbay/internal/fleet/outbox"
 )
 
 const (
-	// reportCopies is how often a change is reported, since datagrams get lost.
-	reportCopies = 2
 	// startShare is the part of the burst in the bucket of a VM that has just
 	// started and does not know what other VMs admitted before.
 	startShare = 0.25
@@ -60,7 +60,7 @@
 
 	mu       sync.Mutex
 	accounts map[string]*bucket
-	changed  map[string]int
+	changed  outbox.Changes
 }
 
 type bucket struct {
@@ -78,7 +78,7 @@
 
 // New returns a quota without accounts.
 func New(c Config) *Quota {
-	return &Quota{config: c, accounts: make(map[string]*bucket), changed: make(map[string]int)}
+	return &Quota{config: c, accounts: make(map[string]*bucket)}
 }
 
 // Admit takes one token of an account. Without one it returns when the next may be
@@ -95,7 +95,7 @@
 	}
 	b.tokens--
 	b.admitted++
-	q.changed[account] = reportCopies
+	q.changed.Mark(account)
 	if q.config.Changed != nil {
 		// Near the limit, other VMs must know soon.
 		q.config.Changed(b.tokens < b.burst/4)
@@ -113,7 +113,7 @@
 	}
 	b.tokens++
 	b.admitted--
-	q.changed[account] = reportCopies
+	q.changed.Mark(account)
 }
 
 // Tokens returns what is left in an account's bucket, for logs.
@@ -165,6 +165,7 @@
 
 // Report is what one VM tells the others of an account.
 type Report struct {
+	_        struct{} `cbor:",toarray"`
 	Account  string
 	Admitted uint32 // since the VM's start
 }
@@ -174,13 +175,8 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	var list []Report
-	for account, left := range q.changed {
+	for _, account := range q.changed.Take() {
 		list = append(list, Report{Account: account, Admitted: q.accounts[account].admitted})
-		if left <= 1 {
-			delete(q.changed, account)
-			continue
-		}
-		q.changed[account] = left - 1
 	}
 	return list
 }
@@ -189,7 +185,7 @@
 func (q *Quota) Dirty() bool {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	return len(q.changed) > 0
+	return q.changed.Len() > 0
 }
 
 // Limits returns an account's rate and burst, or false for an unknown account.
--- a/internal/target/balancer/balancer.go
+++ b/internal/target/balancer/balancer.go
@@ -28,6 +28,7 @@
 
 	"github.com/ansel1/merry/v2"
 
+	"chestnutbay.dev/chestnutbay/internal/fleet/outbox"
 	"chestnutbay.dev/chestnutbay/internal/target/directory"
 	"chestnutbay.dev/chestnutbay/internal/target/evidence"
 )
@@ -82,12 +83,12 @@
 
 	mu        sync.Mutex
 	instances map[string]*record
-	changed   map[string]int // instances to report, with the reports left
+	changed   outbox.Changes // instances to report
 }
 
 // New returns a balancer.
 func New(c Config) *Balancer {
-	return &Balancer{config: c, instances: make(map[string]*record), changed: make(map[string]int)}
+	return &Balancer{config: c, instances: make(map[string]*record)}
 }
 
 // Choose picks an instance for one request. The request's end is reported with the
@@ -142,8 +143,8 @@
 // start counts a request at an instance.
 func (b *Balancer) start(rec *record, cost float64, now time.Time) *Choice {
 	c := &Choice{b: b, rec: rec, instance: rec.instance, cost: cost, before: rec.view(now)}
-	rec.own++
-	rec.started++
+	rec.counts.InFlight++
+	rec.counts.Started++
 	rec.recent.add(now, 1)
 	rec.lastStart = now
 	b.note(rec, false)
@@ -192,7 +193,7 @@
 func (b *Balancer) record(i *directory.Instance) *record {
 	rec := b.instances[i.ID()]
 	if rec == nil || rec.instance.Started() != i.Started() {
-		rec = &record{instance: i}
+		rec = &record{instance: i, counts: Report{Instance: i.ID()}}
 		b.instances[i.ID()] = rec
 	}
 	rec.instance = i
@@ -212,7 +213,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	delete(b.instances, id)
-	delete(b.changed, id)
+	b.changed.Drop(id)
 }
 
 // ForgetVM drops what a VM reported that is no longer a member.
@@ -227,7 +228,7 @@
 
 // note marks a change for the next reports. The caller holds the lock.
 func (b *Balancer) note(rec *record, urgent bool) {
-	b.changed[rec.instance.ID()] = reportCopies
+	b.changed.Mark(rec.instance.ID())
 	if b.config.Changed != nil {
 		b.config.Changed(urgent)
 	}
@@ -262,7 +263,7 @@
 	}
 	c.done = true
 	now := time.Now()
-	c.rec.own--
+	c.rec.counts.InFlight--
 	urgent := c.rec.observeOwn(o, now)
 	b.note(c.rec, urgent)
 }
--- a/internal/target/balancer/record.go
+++ b/internal/target/balancer/record.go
@@ -79,22 +79,14 @@
 	peerTimeout = 5 * time.Second
 	// joinedTime is how long an instance that has joined waits for its first request.
 	joinedTime = 15 * time.Second
-	// reportCopies is how often a change is reported, since datagrams get lost.
-	reportCopies = 2
 )
 
 // record is what this VM knows of one start of an instance.
 type record struct {
 	instance *directory.Instance
 
-	// own is this VM's part of the requests in progress.
-	own int
-	// Counts of this VM since the instance was first seen.
-	started   uint32
-	succeeded uint32
-	failed    uint32
-	unreached uint32
-	absent    uint32
+	// counts are this VM's since the instance was first seen, as reported.
+	counts Report
 
 	peers map[string]peer
 	// busy holds the VMs with requests in progress at the instance.
@@ -138,7 +130,7 @@
 }
 
 func (r *record) view(now time.Time) View {
-	v := View{InFlight: r.inFlight(now), OwnInFlight: r.own, Gray: r.condition.probability(now)}
+	v := View{InFlight: r.inFlight(now), OwnInFlight: r.counts.InFlight, Gray: r.condition.probability(now)}
 	if !r.lastFailure.IsZero() {
 		v.LastFailure = now.Sub(r.lastFailure)
 	}
@@ -147,7 +139,7 @@
 
 // inFlight returns the requests in progress at the instance from all VMs.
 func (r *record) inFlight(now time.Time) int {
-	n := r.own
+	n := r.counts.InFlight
 	for vm, a := range r.busy {
 		if now.Sub(a.at) >= peerTimeout {
 			delete(r.busy, vm)
@@ -178,7 +170,7 @@
 // joined reports whether the instance has joined lately and no VM has sent it a
 // request.
 func (r *record) joined(now time.Time) bool {
-	if r.joinedAt.IsZero() || r.started > 0 || now.Sub(r.joinedAt) > joinedTime {
+	if r.joinedAt.IsZero() || r.counts.Started > 0 || now.Sub(r.joinedAt) > joinedTime {
 		return false
 	}
 	for _, p := range r.peers {
@@ -213,20 +205,20 @@
 func (r *record) observeOwn(o evidence.Outcome, now time.Time) bool {
 	switch verdictOf(o) {
 	case succeeded:
-		r.succeeded++
+		r.counts.Succeeded++
 		r.pathUntil = time.Time{}
 		r.success(now, 1)
 	case failed:
-		r.failed++
+		r.counts.Failed++
 		r.failure(now, 1)
 		return true
 	case unreachable:
-		r.unreached++
+		r.counts.Unreached++
 		r.pathUntil = now.Add(pathTime)
 		r.notReached(ownName, now)
 		return true
 	case absent:
-		r.absent++
+		r.counts.Absent++
 		r.absentUntil = now.Add(absentTime)
 		return true
 	case full:
--- a/internal/target/balancer/report.go
+++ b/internal/target/balancer/report.go
@@ -5,6 +5,7 @@
 // Report is what one VM tells the others of an instance. Counts run since the VM
 // first saw the instance, so a lost report is made up for by the next one.
 type Report struct {
+	_         struct{} `cbor:",toarray"`
 	Instance  string
 	InFlight  int
 	Started   uint32
@@ -21,22 +22,10 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	var list []Report
-	for id, left := range b.changed {
-		rec := b.instances[id]
-		if rec == nil {
-			delete(b.changed, id)
-			continue
-		}
-		list = append(list, Report{
-			Instance: id, InFlight: rec.own,
-			Started: rec.started, Succeeded: rec.succeeded, Failed: rec.failed,
-			Unreached: rec.unreached, Absent: rec.absent,
-		})
-		if left <= 1 {
-			delete(b.changed, id)
-			continue
+	for _, id := range b.changed.Take() {
+		if rec := b.instances[id]; rec != nil {
+			list = append(list, rec.counts)
 		}
-		b.changed[id] = left - 1
 	}
 	return list
 }
@@ -45,7 +34,7 @@
 func (b *Balancer) Dirty() bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return len(b.changed) > 0
+	return b.changed.Len() > 0
 }
 
 // Observe takes in what another VM reports. An incarnation is one start of that
@@ -69,7 +58,7 @@
 	}
 	last, known := r.peers[vm]
 	r.peers[vm] = p
-	r.setBusy(vm, p.at, p.report.InFlight)
+	r.setBusy(vm, p.at, max(p.report.InFlight, 0))
 	switch {
 	case !known && baseline:
 		return
--- a/internal/traffic/retry/fleet.go
+++ b/internal/traffic/retry/fleet.go
@@ -3,14 +3,14 @@
 import (
 	"sync"
 	"time"
+
+	"chestnutbay.dev/chestnutbay/internal/fleet/outbox"
 )
 
 const (
 	// fleetShare is the part of the allowed repeats that the VMs use, so that what
 	// two VMs spend before they hear of each other stays within the bound.
 	fleetShare = 0.9
-	// reportCopies is how often a change is reported, since datagrams get lost.
-	reportCopies = 2
 )
 
 // FleetConfig bounds the repeats at a service from all VMs together.
@@ -37,7 +37,7 @@
 	mu       sync.Mutex
 	start    time.Time
 	services map[string]*fleetWindow
-	changed  map[string]int
+	changed  outbox.Changes
 }
 
 // fleetSlots is the number of counters of one second each. Repeats are counted over
@@ -87,6 +87,7 @@
 
 // Report is what one VM tells the others of a service. Counts run since its start.
 type Report struct {
+	_        struct{} `cbor:",toarray"`
 	Service  string
 	Requests uint32
 	Repeats  uint32
@@ -96,7 +97,7 @@
 
 // NewFleetBudget returns a budget without requests.
 func NewFleetBudget(c FleetConfig) *FleetBudget {
-	return &FleetBudget{config: c, start: time.Now(), services: make(map[string]*fleetWindow), changed: make(map[string]int)}
+	return &FleetBudget{config: c, start: time.Now(), services: make(map[string]*fleetWindow)}
 }
 
 // Adjust changes the bounds.
@@ -113,7 +114,7 @@
 	w := b.service(service)
 	w.own.Requests++
 	w.at(b.second()).requests++
-	b.changed[service] = reportCopies
+	b.changed.Mark(service)
 }
 
 // Unserved counts a request that ended without a good answer.
@@ -123,7 +124,7 @@
 	w := b.service(service)
 	w.own.Unserved++
 	w.at(b.second()).unserved++
-	b.changed[service] = reportCopies
+	b.changed.Mark(service)
 }
 
 // troubleSeconds is the time over which unserved requests are counted, in seconds.
@@ -161,7 +162,7 @@
 	}
 	w.own.Repeats++
 	w.at(now).repeats++
-	b.changed[service] = reportCopies
+	b.changed.Mark(service)
 	return true
 }
 
@@ -202,13 +203,8 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	var list []Report
-	for service, left := range b.changed {
+	for _, service := range b.changed.Take() {
 		list = append(list, b.services[service].own)
-		if left <= 1 {
-			delete(b.changed, service)
-			continue
-		}
-		b.changed[service] = left - 1
 	}
 	return list
 }
