feed: announcements reach back, large records in fragments, peers first

A VM that missed one announcement was behind and read the store, a whole zone when the datagram to that zone was lost; a configuration fits no datagram, so each change was read by all 107 VMs; and while the store was slow every VM's turn came before the reader's announcement.

- An announcement covers the last 2 s, so the next one makes up for a lost one (TestLostAnnouncements).
- A record that fits no datagram goes out compressed in fragments (TestLargeRecord); a larger one is read as before.
- Two VMs stand ready to read in the reader's place.
All others wait long enough to hear the next announcement (TestReadersGoneTogether).
- A VM that lacks instances' records asks another VM first, for what is missing only.
The answer held the whole topic before.
- Removed keys are forgotten after 5 minutes; they stayed for good (TestForgottenRemovals).
- The first counts of a VM are old only if that VM is: when all VMs started together, each left out the first reports of all others, and each account could get as many requests more as there are VMs (TestBaseline).

The first two tests fail without the reach and the fragments.

--- a/internal/fleet/entry/control.go
+++ b/internal/fleet/entry/control.go
@@ -43,6 +43,8 @@
 
 type stateParams struct {
 	Topic feed.Topic `json:"topic"`
+	// From is the offset up to which the asking VM knows the topic.
+	From int64 `json:"from"`
 }
 
 // serveControl answers other VMs.
@@ -89,24 +91,24 @@
 	if err := json.Unmarshal(*r.Params, &p); err != nil || p.Topic < feed.Configuration || p.Topic > feed.Instances {
 		return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeInvalidParams, Message: "malformed parameters"}
 	}
-	s, ok := v.feed.State(p.Topic)
+	s, ok := v.feed.Since(p.Topic, p.From)
 	if !ok {
 		return nil, errNotLoaded
 	}
 	return s, nil
 }
 
-// State asks other VMs for all that one of them holds, if it has read at least up
-// to an offset: the VM named first, then those of the own zone, then the others.
-func (v *VM) State(ctx context.Context, t feed.Topic, least int64, first string) (feed.State, error) {
+// State asks other VMs for what one of them holds, if it has read far enough: the VM
+// to ask first, then those of the own zone, then the others.
+func (v *VM) State(ctx context.Context, q feed.Query) (feed.State, error) {
 	asked := 0
-	for _, address := range v.peersToAsk(first) {
+	for _, address := range v.peersToAsk(q.First) {
 		if address == v.config.Fleet || asked == maxAsked {
 			continue
 		}
 		asked++
-		s, err := askState(ctx, address, t)
-		if err == nil && s.Next >= least {
+		s, err := askState(ctx, address, stateParams{Topic: q.Topic, From: q.From})
+		if err == nil && s.Next >= q.Least {
 			return s, nil
 		}
 		v.config.Logger.Debug("another VM could not help", zap.Stringer("address", address), zap.Int64("next", s.Next), zap.Error(err))
@@ -126,7 +128,7 @@
 	return append(list, v.config.Seeds...)
 }
 
-func askState(ctx context.Context, address netip.AddrPort, t feed.Topic) (feed.State, error) {
+func askState(ctx context.Context, address netip.AddrPort, p stateParams) (feed.State, error) {
 	ctx, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
 	conn, err := new(net.Dialer).DialContext(ctx, "tcp", address.String())
@@ -136,7 +138,7 @@
 	rpc := jsonrpc2.NewConn(ctx, jsonrpc2.NewPlainObjectStream(conn), noCalls{})
 	defer rpc.Close()
 	var s feed.State
-	err = rpc.Call(ctx, stateMethod, stateParams{Topic: t}, &s)
+	err = rpc.Call(ctx, stateMethod, p, &s)
 	return s, err
 }
 
--- a/internal/fleet/entry/entry.go
+++ b/internal/fleet/entry/entry.go
@@ -83,22 +83,21 @@
 
 // VM is an entry VM.
 type VM struct {
-	config        Config
-	incarnation   uint64
-	table         atomic.Pointer[routing.Table]
-	directory     directory.Directory
-	balancer      *balancer.Balancer
-	quota         *quota.Quota
-	budget        *retry.FleetBudget
-	feed          *feed.Feed
-	gossip        *gossip.Gossip
-	server        *ingress.Server
-	registry      *prometheus.Registry
-	leaving       atomic.Bool
-	grace         atomic.Int64 // a time.Duration
-	outbox        announcements
-	acquaintances acquaintances
-	silent        chan string // VMs to remove from the list in the store
+	config      Config
+	incarnation uint64
+	table       atomic.Pointer[routing.Table]
+	directory   directory.Directory
+	balancer    *balancer.Balancer
+	quota       *quota.Quota
+	budget      *retry.FleetBudget
+	feed        *feed.Feed
+	gossip      *gossip.Gossip
+	server      *ingress.Server
+	registry    *prometheus.Registry
+	leaving     atomic.Bool
+	grace       atomic.Int64 // a time.Duration
+	outbox      announcements
+	silent      chan string // VMs to remove from the list in the store
 
 	callers, readiness, metrics, control net.Listener
 }
--- a/internal/fleet/entry/message.go
+++ b/internal/fleet/entry/message.go
@@ -1,9 +1,6 @@
 package entry
 
 import (
-	"sync"
-	"time"
-
 	"github.com/fxamacker/cbor/v2"
 	"go.uber.org/zap"
 
@@ -14,10 +11,6 @@
 	"chestnutbay.dev/chestnutbay/internal/traffic/retry"
 )
 
-// baselineTime is how long after it first hears a VM another one takes the VM's
-// first counts as lying before that.
-const baselineTime = 5 * time.Second
-
 // payload is what one datagram carries between VMs. Short names keep it small.
 type payload struct {
 	Instances     []balancer.Report   `cbor:"1,keyasint,omitempty"`
@@ -26,18 +19,21 @@
 	Announcements []feed.Announcement `cbor:"4,keyasint,omitempty"`
 }
 
+// reportBytes is what the counts and markers of one report take at most, beside its
+// name.
+const reportBytes = 32
+
 // size returns about how many bytes the payload takes, from above.
 func (p *payload) size() int {
-	const entry = 24 // the counts and markers of one report
 	n := 16
 	for _, r := range p.Instances {
-		n += len(r.Instance) + entry
+		n += len(r.Instance) + reportBytes
 	}
 	for _, r := range p.Accounts {
-		n += len(r.Account) + entry
+		n += len(r.Account) + reportBytes
 	}
 	for _, r := range p.Services {
-		n += len(r.Service) + entry
+		n += len(r.Service) + reportBytes
 	}
 	for _, a := range p.Announcements {
 		n += announcementSize(a)
@@ -48,7 +44,10 @@
 func announcementSize(a feed.Announcement) int {
 	n := 48
 	for _, r := range a.Records {
-		n += len(r.Key) + len(r.Value) + 24
+		n += len(r.Key) + len(r.Value) + reportBytes
+	}
+	if a.Fragment != nil {
+		n += len(a.Fragment.Key) + len(a.Fragment.Data) + reportBytes
 	}
 	return n
 }
@@ -73,15 +72,15 @@
 		p.Announcements = append(p.Announcements, a)
 	}
 	for _, r := range v.balancer.Reports() {
-		p := c.next(len(r.Instance) + 24)
+		p := c.next(len(r.Instance) + reportBytes)
 		p.Instances = append(p.Instances, r)
 	}
 	for _, r := range v.quota.Reports() {
-		p := c.next(len(r.Account) + 24)
+		p := c.next(len(r.Account) + reportBytes)
 		p.Accounts = append(p.Accounts, r)
 	}
 	for _, r := range v.budget.Reports() {
-		p := c.next(len(r.Service) + 24)
+		p := c.next(len(r.Service) + reportBytes)
 		p.Services = append(p.Services, r)
 	}
 	if len(c.list) == 0 {
@@ -103,22 +102,21 @@
 }
 
 // receive takes in what another VM reports.
-func (v *VM) receive(vm string, incarnation uint64, b []byte) {
+func (v *VM) receive(from gossip.Sender, b []byte) {
 	if len(b) == 0 {
 		return
 	}
 	var p payload
 	if err := cbor.Unmarshal(b, &p); err != nil {
-		v.config.Logger.Warn("report of another VM cannot be read", zap.String("vm", vm), zap.Error(err))
+		v.config.Logger.Warn("report of another VM cannot be read", zap.String("other", from.Name), zap.Error(err))
 		return
 	}
-	baseline := v.acquaintances.since(vm) < baselineTime
 	for _, a := range p.Announcements {
-		v.feed.Heard(vm, a)
+		v.feed.Heard(from.Name, a)
 	}
-	v.balancer.Observe(vm, incarnation, p.Instances, baseline)
-	v.quota.Observe(vm, incarnation, p.Accounts, v.limits, baseline)
-	v.budget.Observe(vm, incarnation, p.Services, baseline)
+	v.balancer.Observe(from.Name, from.Incarnation, p.Instances, from.Baseline)
+	v.quota.Observe(from.Name, from.Incarnation, p.Accounts, v.limits, from.Baseline)
+	v.budget.Observe(from.Name, from.Incarnation, p.Services, from.Baseline)
 }
 
 // limits returns an account's rate and burst.
@@ -139,36 +137,8 @@
 	v.balancer.ForgetVM(vm)
 	v.quota.Forget(vm)
 	v.budget.Forget(vm)
-	v.acquaintances.drop(vm)
 	select {
 	case v.silent <- vm:
 	default: // Another VM, or the next reading of the list, sees to it.
 	}
 }
-
-// acquaintances remembers when each VM was first heard. The zero value is empty.
-type acquaintances struct {
-	mu    sync.Mutex
-	first map[string]time.Time
-}
-
-// since returns how long ago a VM was first heard.
-func (a *acquaintances) since(vm string) time.Duration {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	if a.first == nil {
-		a.first = make(map[string]time.Time)
-	}
-	t, ok := a.first[vm]
-	if !ok {
-		t = time.Now()
-		a.first[vm] = t
-	}
-	return time.Since(t)
-}
-
-func (a *acquaintances) drop(vm string) {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	delete(a.first, vm)
-}
--- a/internal/fleet/entry/state.go
+++ b/internal/fleet/entry/state.go
@@ -11,8 +11,9 @@
 	"chestnutbay.dev/chestnutbay/internal/target/directory"
 )
 
-// maxAnnouncements bounds what waits to be announced; each read makes one.
-const maxAnnouncements = 16
+// maxAnnouncements bounds what waits to be announced. A read makes one, or as many
+// as a large record has fragments.
+const maxAnnouncements = 64
 
 // announcements wait for the next datagram.
 type announcements struct {
--- a/internal/fleet/feed/feed.go
+++ b/internal/fleet/feed/feed.go
@@ -70,17 +70,30 @@
 	Read(ctx context.Context, t Topic, from int64) ([]Record, int64, error)
 }
 
-// Peers asks other VMs for all that one of them holds.
+// Peers asks other VMs for what one of them holds.
 type Peers interface {
-	// State returns the state of a VM that has read at least up to an offset. The
-	// VM named first is asked before the others, if it is not "".
-	State(ctx context.Context, t Topic, least int64, first string) (State, error)
+	// State returns the state of a VM that has read far enough.
+	State(ctx context.Context, q Query) (State, error)
 }
 
-// State is all that a VM holds of a topic.
+// Query says what a VM needs of another one.
+type Query struct {
+	Topic Topic
+	// From is the offset up to which the asking VM knows the topic.
+	From int64
+	// Least is the offset up to which the other VM must have read.
+	Least int64
+	// First is the VM to ask before the others, or "".
+	First string
+}
+
+// State is what a VM holds of a topic: the newest record of each key, from an offset
+// on or of the whole topic.
 type State struct {
 	Records []Record `json:"records"`
 	Next    int64    `json:"next"`
+	// Whole says that keys without a record do not exist.
+	Whole bool `json:"whole,omitempty"`
 }
 
 // Announcement says how far a VM has read a topic.
@@ -95,6 +108,9 @@
 	// whether none was left out.
 	Records []Record `cbor:"5,keyasint,omitempty"`
 	Whole   bool     `cbor:"6,keyasint,omitempty"`
+	// Fragment is a part of the only record of this announcement, if that fits no
+	// datagram.
+	Fragment *Fragment `cbor:"7,keyasint,omitempty"`
 }
 
 // Times of the reads.
@@ -103,11 +119,19 @@
 	// leaving instance must get no more requests within 2 s, and a change of the
 	// configuration must be in force by then.
 	period = 600 * time.Millisecond
-	// rankDelay is added for each VM that ranks before. It covers a read and its
-	// announcement.
+	// rankDelay is added for each VM that ranks before, for the first few. It covers
+	// a read and its announcement.
 	rankDelay = 60 * time.Millisecond
-	// maxRankDelay bounds the delay, so that a VM that hears nobody reads in time.
-	maxRankDelay = 400 * time.Millisecond
+	// substitutes is how many VMs beside the first one stand ready to read.
+	substitutes = 2
+	// lateDelay is added for all others, so that a VM that missed one announcement
+	// hears the next one before it reads for itself. A record that they read then is
+	// younger than 1.5 s, of the 2 s that there are for a leaving instance.
+	lateDelay = 700 * time.Millisecond
+	// lateSpread keeps these from reading at the same time.
+	lateSpread = 150 * time.Millisecond
+	// lateStep is the difference between two of them.
+	lateStep = 10 * time.Millisecond
 	// callTimeout bounds one call to the store. A store that is slow takes some
 	// hundred milliseconds.
 	callTimeout = time.Second
@@ -115,12 +139,21 @@
 	retryDelay = 250 * time.Millisecond
 	// announceBytes bounds the records in one announcement.
 	announceBytes = 900
+	// reachTime is how far back an announcement reaches, and reachBytes bounds its
+	// records: a lost datagram is made up for by the next announcements.
+	reachTime  = 2 * time.Second
+	reachBytes = 4 * announceBytes
 	// recordOverhead is what a record takes in an announcement beside its key and
 	// value.
 	recordOverhead = 16
 	// awayAfter is the age of the last proof from which the store counts as having
 	// been away: no VM that is heard could read it.
-	awayAfter = 1500 * time.Millisecond
+	awayAfter = 2 * time.Second
+	// tombstoneTime is how long a removed key is remembered, for VMs that are behind.
+	// One that is further behind gets the whole topic.
+	tombstoneTime = 5 * time.Minute
+	// sweepPeriod is the time between two searches for tombstones to drop.
+	sweepPeriod = 30 * time.Second
 	// returnGrace is how long a registration may stay away after the store could
 	// not be read: entries that lapsed meanwhile come back within 2 s.
 	returnGrace = 2 * time.Second
@@ -145,6 +178,14 @@
 	Logger      *zap.Logger
 }
 
+// turnDelay returns how long a VM with a rank leaves a read that is due to others.
+func turnDelay(rank int) time.Duration {
+	if rank <= substitutes {
+		return time.Duration(rank) * rankDelay
+	}
+	return lateDelay + time.Duration(rank)*lateStep%lateSpread
+}
+
 // Feed follows the topics. It is safe for concurrent use.
 type Feed struct {
 	config Config
@@ -166,6 +207,13 @@
 	lost     bool      // this VM's last read failed
 	regained time.Time // when a proof came after a time without any
 	removals map[string]removal
+	history  history
+
+	fragments assembly
+
+	tombstones map[string]time.Time // when each removed key was removed
+	complete   int64                // removals from this offset on are all remembered
+	swept      time.Time
 }
 
 // removal is a removed key that may come back.
@@ -184,6 +232,7 @@
 		f.kick[i] = make(chan struct{}, 1)
 		f.topics[i].records = make(map[string]Record)
 		f.topics[i].removals = make(map[string]removal)
+		f.topics[i].tombstones = make(map[string]time.Time)
 	}
 	return f
 }
@@ -211,15 +260,18 @@
 	return f.reads
 }
 
-// State returns all that is known of a topic. It reports false before the first
+// Since returns what is known of a topic from an offset on, or the whole topic if
+// removals since then are no longer remembered. It reports false before the first
 // read.
-func (f *Feed) State(t Topic) (State, bool) {
+func (f *Feed) Since(t Topic, from int64) (State, bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	p := &f.topics[t]
-	s := State{Next: p.next}
+	s := State{Next: p.next, Whole: from < p.complete}
 	for _, r := range p.records {
-		s.Records = append(s.Records, r)
+		if r.Offset >= from || s.Whole && r.Value != nil {
+			s.Records = append(s.Records, r)
+		}
 	}
 	return s, p.loaded
 }
@@ -247,6 +299,16 @@
 	if a.Next > p.ahead {
 		p.ahead, p.aheadVM = a.Next, vm
 	}
+	if a.Fragment != nil && a.Next > p.next {
+		r, ok := p.fragments.add(*a.Fragment)
+		if !ok {
+			// The rest is on its way, or comes with the next announcement. Without it
+			// this VM's turn to read comes soon.
+			f.mu.Unlock()
+			return
+		}
+		a.Records = []Record{r}
+	}
 	behind := a.Next > p.next
 	switch {
 	case !behind:
@@ -264,17 +326,18 @@
 	}
 }
 
-// apply takes in records that are newer than the known ones. The caller holds the
-// lock.
-func (f *Feed) apply(t Topic, records []Record, next int64) []Record {
+// apply takes in records that are newer than the known ones and brings the topic up
+// to an offset. The caller holds the lock.
+func (f *Feed) apply(t Topic, records []Record, next int64) {
 	p := &f.topics[t]
 	var news []Record
 	for _, r := range records {
 		old, known := p.records[r.Key]
-		if known && old.Offset >= r.Offset {
-			continue
+		if known && old.Offset >= r.Offset || !known && p.loaded && r.Offset < p.next {
+			continue // The second is older than a removal that is no longer remembered.
 		}
 		p.records[r.Key] = r
+		p.bury(r)
 		if p.holdRemoval(t, r) {
 			news = append(news, r)
 			continue
@@ -285,8 +348,34 @@
 		}
 		f.config.Apply(t, r, p.loaded)
 	}
-	p.next = max(p.next, next)
-	return news
+	next = max(p.next, next)
+	p.history.add(step{from: p.next, next: next, at: time.Now(), news: news})
+	p.next = next
+}
+
+// bury notes when a key was removed.
+func (p *progress) bury(r Record) {
+	if r.Value != nil {
+		delete(p.tombstones, r.Key)
+		return
+	}
+	p.tombstones[r.Key] = time.Now()
+}
+
+// sweep drops what is remembered of keys that were removed long ago.
+func (p *progress) sweep(now time.Time) {
+	if now.Sub(p.swept) < sweepPeriod {
+		return
+	}
+	p.swept = now
+	for key, at := range p.tombstones {
+		if now.Sub(at) < tombstoneTime {
+			continue
+		}
+		p.complete = max(p.complete, p.records[key].Offset+1)
+		delete(p.records, key)
+		delete(p.tombstones, key)
+	}
 }
 
 // prove notes a read that began at a time and proved what is known to be the end.
@@ -326,7 +415,7 @@
 
 // replace takes in a whole listing: keys that it lacks were removed. The caller
 // holds the lock.
-func (f *Feed) replace(t Topic, records []Record, next int64) []Record {
+func (f *Feed) replace(t Topic, records []Record, next int64) {
 	p := &f.topics[t]
 	listed := make(map[string]bool, len(records))
 	for _, r := range records {
@@ -338,5 +427,5 @@
 		}
 	}
 	slices.SortFunc(records, func(a, b Record) int { return int(a.Offset - b.Offset) })
-	return f.apply(t, records, next)
+	f.apply(t, records, next)
 }
--- a/internal/fleet/feed/feed_test.go
+++ b/internal/fleet/feed/feed_test.go
@@ -2,8 +2,9 @@
 
 import (
 	"context"
+	"encoding/hex"
 	"fmt"
-	"strings"
+	"math/rand/v2"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -107,6 +108,7 @@
 
 // vm is one VM with its copy of the store.
 type vm struct {
+	index  int
 	feed   *feed.Feed
 	cancel context.CancelFunc
 	mu     sync.Mutex
@@ -127,6 +129,8 @@
 	vms []*vm
 	// deaf VMs hear no announcements.
 	deaf map[int]bool
+	// lost reports whether an announcement to a VM is lost. It may be nil.
+	lost func(to int) bool
 }
 
 func (f *fleet) setDeaf(i int) {
@@ -158,7 +162,7 @@
 
 func (f *fleet) start() {
 	i := len(f.vms)
-	v := &vm{values: make(map[string]string)}
+	v := &vm{index: i, values: make(map[string]string)}
 	v.feed = feed.New(feed.Config{
 		Source: client{store: f.store, vm: i},
 		Apply: func(_ feed.Topic, r feed.Record, _ bool) {
@@ -168,7 +172,9 @@
 		},
 		Announce: func(a feed.Announcement) {
 			for _, other := range f.others(i) {
-				other.feed.Heard(fmt.Sprint("vm-", i), a)
+				if f.lost == nil || !f.lost(other.index) {
+					other.feed.Heard(fmt.Sprint("vm-", i), a)
+				}
 			}
 		},
 		Rank:        func(string) int { return i },
@@ -195,9 +201,9 @@
 	self int
 }
 
-func (p peers) State(_ context.Context, t feed.Topic, least int64, _ string) (feed.State, error) {
+func (p peers) State(_ context.Context, q feed.Query) (feed.State, error) {
 	for _, v := range p.f.others(p.self) {
-		if s, ok := v.feed.State(t); ok && s.Next >= least {
+		if s, ok := v.feed.Since(q.Topic, q.From); ok && s.Next >= q.Least {
 			return s, nil
 		}
 	}
@@ -241,6 +247,62 @@
 	}
 }
 
+// TestLostAnnouncements guards against reads of the store, which grow with the fleet,
+// by VMs that miss an announcement, and against changes that they learn too late.
+func TestLostAnnouncements(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFleet(30)
+		defer f.stop()
+		var mu sync.Mutex
+		random := rand.New(rand.NewPCG(1, 2))
+		f.lost = func(int) bool {
+			mu.Lock()
+			defer mu.Unlock()
+			return random.Float64() < 0.1
+		}
+		time.Sleep(3 * time.Second)
+		before := f.store.count()
+		for i := range 20 {
+			f.store.put(feed.Instances, "i-1", fmt.Sprint("state ", i))
+			for range 20 { // another instance writes the same again and again
+				f.store.put(feed.Instances, "i-2", "ready")
+				time.Sleep(inForce / 20)
+			}
+			f.expect(t, "i-1", fmt.Sprint("state ", i))
+		}
+		is.True(f.store.count()-before < 200) // 40 s, two topics, every 0.6 s at most: 134
+	})
+}
+
+// TestForgottenRemovals guards against memory that grows with every instance that
+// ever was, and against a VM that keeps an instance whose removal the others no
+// longer remember.
+func TestForgottenRemovals(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFleet(1)
+		defer f.stop()
+		time.Sleep(time.Second)
+		for i := range 100 {
+			f.store.put(feed.Instances, fmt.Sprint("i-", i), "ready")
+			f.store.put(feed.Instances, fmt.Sprint("i-", i), "")
+		}
+		f.store.put(feed.Instances, "i-100", "ready")
+		time.Sleep(time.Second)
+		s, _ := f.vms[0].feed.Since(feed.Instances, 0)
+		is.Equal(len(s.Records), 101) // a VM that is behind learns of the removals
+		is.True(!s.Whole)
+		time.Sleep(10 * time.Minute)
+		s, _ = f.vms[0].feed.Since(feed.Instances, 50)
+		is.Equal(len(s.Records), 1)
+		is.True(s.Whole) // what is not listed is gone
+		s, _ = f.vms[0].feed.Since(feed.Instances, 201)
+		is.Equal(len(s.Records), 0)
+		is.True(!s.Whole)
+	})
+}
+
 // TestReaderGone guards against a fleet that stops reading when its reader dies or
 // is cut off.
 func TestReaderGone(t *testing.T) {
@@ -261,8 +323,63 @@
 	})
 }
 
-// large is a value that no datagram carries.
-var large = strings.Repeat("x", 100_000)
+// TestReadersGoneTogether guards against a change that comes late when the reader
+// dies together with the VMs that stand ready to read in its place.
+func TestReadersGoneTogether(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(12)
+		defer f.stop()
+		time.Sleep(3 * time.Second)
+		for _, v := range f.vms[:6] {
+			v.cancel()
+		}
+		f.store.put(feed.Instances, "i-1", "leaving")
+		time.Sleep(inForce - 400*time.Millisecond) // the rest is for the network and the processor
+		for _, v := range f.vms[6:] {
+			if got := v.get("i-1"); got != "leaving" {
+				t.Fatalf("vm %d has %q", v.index, got)
+			}
+		}
+	})
+}
+
+// noise returns a value that does not get smaller by compression.
+func noise(bytes int) string {
+	random := rand.NewChaCha8([32]byte{7})
+	b := make([]byte, bytes/2)
+	random.Read(b) //nolint:errcheck // It always fills the slice.
+	return hex.EncodeToString(b)
+}
+
+// large is a value that announcements do not carry.
+var large = noise(200_000)
+
+// TestLargeRecord guards against a configuration that every VM reads from the store
+// because it fits no datagram, and against one that comes late where a fragment is
+// lost.
+func TestLargeRecord(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFleet(30)
+		defer f.stop()
+		var mu sync.Mutex
+		random := rand.New(rand.NewPCG(1, 2))
+		f.lost = func(int) bool {
+			mu.Lock()
+			defer mu.Unlock()
+			return random.Float64() < 0.02
+		}
+		time.Sleep(3 * time.Second)
+		before := f.store.count()
+		for i := range 20 {
+			config := fmt.Sprint(i, " ", noise(8000))
+			f.store.put(feed.Configuration, "config", config)
+			time.Sleep(inForce)
+			f.expect(t, "config", config)
+		}
+		is.True(f.store.count()-before < 300) // 20 times 30 if every VM reads
+	})
+}
 
 // TestStoreRefusesSome guards against a VM that keeps a withdrawn configuration
 // because the store turns it away, while others know better.
--- a/internal/fleet/feed/run.go
+++ b/internal/fleet/feed/run.go
@@ -28,7 +28,7 @@
 		if ctx.Err() != nil {
 			return
 		}
-		if f.read(ctx, t) {
+		if f.asksFirst(t) && f.ask(ctx, t) || f.read(ctx, t) {
 			continue
 		}
 		if f.isBehind(t) {
@@ -70,8 +70,7 @@
 	if !p.loaded {
 		return 0
 	}
-	delay := min(time.Duration(f.config.Rank(t.String()))*rankDelay, maxRankDelay)
-	return time.Until(p.verified.Add(period + delay))
+	return time.Until(p.verified.Add(period + turnDelay(f.config.Rank(t.String()))))
 }
 
 // isBehind reports whether other VMs are known to hold more, or this VM nothing.
@@ -82,6 +81,15 @@
 	return !p.loaded || p.ahead > p.next
 }
 
+// asksFirst reports whether another VM is the better source: it has read further,
+// and this VM is refused by the store or lacks a few small records only.
+func (f *Feed) asksFirst(t Topic) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	p := &f.topics[t]
+	return p.loaded && p.ahead > p.next && (p.lost || t == Instances)
+}
+
 // read brings the topic up to date from the store and announces the result.
 func (f *Feed) read(ctx context.Context, t Topic) bool {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
@@ -118,51 +126,84 @@
 		f.config.Logger.Info("store answers again", zap.Stringer("topic", t), zap.Duration("proof_age", time.Since(p.verified)))
 	}
 	p.prove(began)
-	// What came from other VMs while the read was under way is not news here, so the
-	// announcement must not reach back beyond it.
-	from = max(from, p.next)
-	var news []Record
 	if whole {
-		news = f.replace(t, records, next)
+		f.replace(t, records, next)
+		// A listing holds the newest records only. A VM that has read up to an offset in
+		// between may know an older one that nothing in the listing replaces.
+		p.history = history{}
 	} else {
-		news = f.apply(t, records, next)
+		f.apply(t, records, next)
 	}
 	first := !p.loaded
 	p.loaded = true
 	f.expire(t, time.Now())
+	p.sweep(time.Now())
+	a := Announcement{Topic: t, Next: p.next, Whole: !whole}
+	a.From, a.Records = p.history.since(from, time.Now())
 	f.mu.Unlock()
 	if first {
 		f.config.Logger.Info("topic loaded", zap.Stringer("topic", t), zap.Int("records", len(records)), zap.Int64("next", next))
 	}
-	for _, a := range split(news, Announcement{Topic: t, From: from, Next: max(from, next), Age: time.Since(began), Whole: !whole}) {
-		f.config.Announce(a)
+	a.Age = time.Since(began)
+	for _, part := range split(a) {
+		f.config.Announce(part)
 	}
 }
 
 // split spreads the records of an announcement over several that fit a datagram
-// each. A record that fits none is left out, and its announcement is not whole.
-func split(records []Record, a Announcement) []Announcement {
-	if !a.Whole {
+// each.
+func split(a Announcement) []Announcement {
+	if !a.Whole || len(a.Records) == 0 {
 		return []Announcement{a}
 	}
 	var list []Announcement
-	part, size := a, 0
-	for _, r := range records {
-		n := len(r.Key) + len(r.Value) + recordOverhead
-		if size > 0 && size+n > announceBytes {
-			part.Next = r.Offset
-			list = append(list, part)
-			part = a
-			part.From, size = r.Offset, 0
+	part, groups := a, batches(a.Records)
+	for i, group := range groups {
+		part.Records = group
+		part.Next = group[len(group)-1].Offset + 1
+		if i == len(groups)-1 {
+			part.Next = a.Next
 		}
-		size += n
-		if n > announceBytes {
-			part.Whole = false
-			continue
+		list = append(list, part.datagrams()...)
+		part.From = part.Next
+	}
+	return list
+}
+
+// batches groups records that fit a datagram together. One that fits none is alone.
+func batches(records []Record) [][]Record {
+	var groups [][]Record
+	size := 0
+	for _, r := range records {
+		if len(groups) == 0 || size+r.size() > announceBytes {
+			groups, size = append(groups, nil), 0
 		}
-		part.Records = append(part.Records, r)
+		last := len(groups) - 1
+		groups[last] = append(groups[last], r)
+		size += r.size()
 	}
-	return append(list, part)
+	return groups
+}
+
+// datagrams returns the announcement as it is, or with the fragments of its only
+// record if that fits no datagram. A record that is too large for fragments is left
+// out, and its announcement is not whole.
+func (a Announcement) datagrams() []Announcement {
+	if len(a.Records) > 1 || a.Records[0].size() <= announceBytes {
+		return []Announcement{a}
+	}
+	fragments := fragment(a.Records[0])
+	a.Records = nil
+	if fragments == nil {
+		a.Whole = false
+		return []Announcement{a}
+	}
+	list := make([]Announcement, len(fragments))
+	for i := range fragments {
+		list[i] = a
+		list[i].Fragment = &fragments[i]
+	}
+	return list
 }
 
 func (f *Feed) failed(t Topic, err error) {
@@ -177,27 +218,34 @@
 	}
 }
 
-// ask takes in what another VM holds.
-func (f *Feed) ask(ctx context.Context, t Topic) {
+// ask takes in what another VM holds, and reports whether one had what was missing.
+func (f *Feed) ask(ctx context.Context, t Topic) bool {
 	if f.config.Peers == nil {
-		return
+		return false
 	}
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	f.mu.Lock()
-	least, first := f.topics[t].ahead, f.topics[t].aheadVM
+	p := &f.topics[t]
+	q := Query{Topic: t, From: p.next, Least: p.ahead, First: p.aheadVM}
 	f.mu.Unlock()
-	s, err := f.config.Peers.State(ctx, t, least, first)
+	s, err := f.config.Peers.State(ctx, q)
 	if err != nil {
 		f.config.Logger.Debug("no other VM answers", zap.Stringer("topic", t), zap.Error(err))
-		return
+		return false
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	p := &f.topics[t]
-	f.apply(t, s.Records, s.Next)
+	if s.Whole {
+		f.replace(t, s.Records, s.Next)
+	} else {
+		f.apply(t, s.Records, s.Next)
+	}
+	p.history = history{} // The state lacks records that newer ones have replaced.
 	p.loaded = true
-	f.config.Logger.Info("topic taken from another VM", zap.Stringer("topic", t), zap.Int64("next", s.Next), zap.String("other", first))
+	f.config.Logger.Info("topic taken from another VM", zap.Stringer("topic", t), zap.Int64("from", q.From), zap.Int64("next", s.Next),
+		zap.Int("records", len(s.Records)), zap.String("announced_by", q.First))
+	return true
 }
 
 func sleep(ctx context.Context, d time.Duration) {
--- a/internal/fleet/gossip/gossip.go
+++ b/internal/fleet/gossip/gossip.go
@@ -46,6 +46,9 @@
 	forgetTime = 20 * time.Second
 	// datagramBytes bounds a datagram to what every network path carries whole.
 	datagramBytes = 1350
+	// baselineTime is how long after a VM is first heard its counts may be old, and
+	// the age from which a VM that is first heard has old counts.
+	baselineTime = 5 * time.Second
 	// window is how many sequence numbers below the highest one are remembered.
 	window = 64
 )
@@ -67,13 +70,23 @@
 	// returns at least one, which may be empty.
 	Compose func() [][]byte
 	// Receive takes in a payload of another VM.
-	Receive func(vm string, incarnation uint64, payload []byte)
+	Receive func(from Sender, payload []byte)
 	// Forgotten is called for a VM that is no longer a member after a long silence.
 	// It may be nil.
 	Forgotten func(vm string)
 	Logger    *zap.Logger
 }
 
+// Sender says whose payload it is.
+type Sender struct {
+	Name string
+	// Incarnation is one start of the VM's process, whose counts begin at 0.
+	Incarnation uint64
+	// Baseline says that counts which were not heard before may be old: the sender
+	// started before the VM that receives them, or was out of hearing for long.
+	Baseline bool
+}
+
 // PayloadBytes bounds a payload, so that it fits a datagram with its envelope.
 const PayloadBytes = datagramBytes - 150
 
@@ -86,12 +99,15 @@
 	Payload     []byte `cbor:"5,keyasint,omitempty"`
 	// Leaving is the last word of a VM that stops as planned.
 	Leaving bool `cbor:"6,keyasint,omitempty"`
+	// Age is how long the sender's process has run.
+	Age time.Duration `cbor:"7,keyasint,omitempty"`
 }
 
 // Gossip sends and receives reports. It is safe for concurrent use.
 type Gossip struct {
 	config Config
 	wake   chan bool
+	start  time.Time
 
 	mu       sync.Mutex
 	members  map[string]*contact
@@ -112,6 +128,8 @@
 	met         time.Time
 	heard       time.Time
 	incarnation uint64
+	first       time.Time // heard in this incarnation
+	older       bool      // its counts began before this VM would have heard of them
 	highest     uint64
 	seen        uint64 // bit n: sequence number highest-n was seen
 }
@@ -121,7 +139,7 @@
 	if c.Logger == nil {
 		c.Logger = zap.NewNop()
 	}
-	return &Gossip{config: c, wake: make(chan bool, 1), members: make(map[string]*contact)}
+	return &Gossip{config: c, wake: make(chan bool, 1), start: time.Now(), members: make(map[string]*contact)}
 }
 
 // MeetAll adds the VMs that the platform lists, this one among them.
@@ -246,7 +264,7 @@
 func (g *Gossip) broadcast(payload []byte, leaving bool) {
 	g.mu.Lock()
 	g.sequence++
-	e := envelope{From: g.config.Self, Incarnation: g.config.Incarnation, Sequence: g.sequence, Payload: payload, Leaving: leaving}
+	e := envelope{From: g.config.Self, Incarnation: g.config.Incarnation, Sequence: g.sequence, Payload: payload, Leaving: leaving, Age: time.Since(g.start)}
 	near, far := g.audience(time.Now())
 	g.mu.Unlock()
 	plain, err := cbor.Marshal(e)
@@ -334,7 +352,7 @@
 		g.mu.Unlock()
 		return
 	}
-	fresh, near := g.accept(&e)
+	fresh, baseline, near := g.accept(&e)
 	if !fresh {
 		return
 	}
@@ -350,7 +368,7 @@
 		g.drop(e.From.Name)
 		return
 	}
-	g.config.Receive(e.From.Name, e.Incarnation, e.Payload)
+	g.config.Receive(Sender{Name: e.From.Name, Incarnation: e.Incarnation, Baseline: baseline}, e.Payload)
 }
 
 // drop removes a VM that has said that it stops.
@@ -360,9 +378,10 @@
 	g.mu.Unlock()
 }
 
-// accept notes a datagram's sender and reports whether the datagram is new. near
-// are the VMs that it is passed on to.
-func (g *Gossip) accept(e *envelope) (fresh bool, near []Member) {
+// accept notes a datagram's sender and reports whether the datagram is new and
+// whether its counts may lie before this VM's start. near are the VMs that it is
+// passed on to.
+func (g *Gossip) accept(e *envelope) (fresh, baseline bool, near []Member) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.stats.Received++
@@ -372,14 +391,16 @@
 		g.members[e.From.Name] = c
 	}
 	c.member = e.From
+	now := time.Now()
 	if c.incarnation != e.Incarnation {
 		c.incarnation, c.highest, c.seen = e.Incarnation, 0, 0
+		c.first, c.older = now, e.Age > min(now.Sub(g.start), baselineTime)
 	}
 	if !c.take(e.Sequence) {
 		g.stats.Duplicates++
-		return false, nil
+		return false, false, nil
 	}
-	c.heard = time.Now()
+	c.heard = now
 	if e.PassOn {
 		g.stats.PassedOn++
 		for _, other := range g.members {
@@ -388,7 +409,7 @@
 			}
 		}
 	}
-	return true, near
+	return true, c.older && now.Sub(c.first) < baselineTime, near
 }
 
 // take notes a sequence number and reports whether it is new.
--- a/internal/fleet/gossip/gossip_test.go
+++ b/internal/fleet/gossip/gossip_test.go
@@ -79,6 +79,8 @@
 	word  []byte
 	heard map[string]string
 	gone  []string
+	// baseline holds whether each VM's last counts may lie before this one's start.
+	baseline map[string]bool
 }
 
 func (v *vm) last(name string) string {
@@ -116,7 +118,7 @@
 	f.net.ports[address.String()] = p
 	f.net.zones[address.String()] = zone
 	f.net.mu.Unlock()
-	v := &vm{member: gossip.Member{Name: fmt.Sprintf("vm-%d", i), Zone: zone, Address: address}, heard: make(map[string]string)}
+	v := &vm{member: gossip.Member{Name: fmt.Sprintf("vm-%d", i), Zone: zone, Address: address}, heard: make(map[string]string), baseline: make(map[string]bool)}
 	v.gossip = gossip.New(gossip.Config{
 		Self: v.member, Incarnation: incarnation, Conn: p,
 		Compose: func() [][]byte {
@@ -124,10 +126,11 @@
 			defer v.mu.Unlock()
 			return [][]byte{v.word}
 		},
-		Receive: func(from string, _ uint64, b []byte) {
+		Receive: func(from gossip.Sender, b []byte) {
 			v.mu.Lock()
 			defer v.mu.Unlock()
-			v.heard[from] = string(b)
+			v.heard[from.Name] = string(b)
+			v.baseline[from.Name] = from.Baseline
 		},
 		Forgotten: func(name string) {
 			v.mu.Lock()
@@ -258,6 +261,27 @@
 	})
 }
 
+// TestBaseline guards against first counts of a VM that are taken for old by VMs that
+// started before it or with it, so that each account gets as many requests more as
+// there are VMs.
+func TestBaseline(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFleet(1, 3) // all start together
+		defer f.stop()
+		time.Sleep(2 * time.Second)
+		is.True(!f.vms[0].baseline["vm-1"])
+		is.True(!f.vms[1].baseline["vm-0"])
+		time.Sleep(20 * time.Second)
+		late := f.start(3, "zone-0", 4)
+		time.Sleep(2 * time.Second)
+		is.True(late.baseline["vm-0"])
+		is.True(!f.vms[0].baseline["vm-3"])
+		time.Sleep(5 * time.Second)
+		is.True(!late.baseline["vm-0"])
+	})
+}
+
 // TestForgotten guards against VMs that are gone and count as members for ever, and
 // against a planned stop that counts as silence.
 func TestForgotten(t *testing.T) {
