balancer: most instances are in use at any time; timeouts weigh less

Instances were spread to only after 8% had gone unserved, by one VM each half second, which got no request in that time more often than not.

Now 0.8 of the instances that did not fail in the last 3 s are in use at any time, and all of them in trouble; each VM takes part with so many of its requests as the rate of the service asks for. Idempotent requests do it alone where there are enough.

TestFloor asserted that five instances that failed stay without requests for 4 s. That was the fault; it asserts 2 s now, and the floor from then on.

--- a/internal/target/balancer/balancer.go
+++ b/internal/target/balancer/balancer.go
@@ -21,6 +21,8 @@
 package balancer
 
 import (
+	"cmp"
+	"math"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -57,9 +59,9 @@
 	Fleet     Fleet
 	// Zone is this VM's availability zone, which is preferred among equals.
 	Zone string
-	// Unserved returns the part of a service's latest requests that ended without a
-	// good answer, on all VMs. It may be nil.
-	Unserved func(service string) float64
+	// Recent returns the requests a second for a service on all VMs, and the part of
+	// the latest ones that ended without a good answer. It may be nil.
+	Recent func(service string) (perSecond, unserved float64)
 	// Changed is called when something was recorded that other VMs should learn
 	// soon. It may be nil.
 	Changed func(urgent bool)
@@ -83,12 +85,13 @@
 
 	mu        sync.Mutex
 	instances map[string]*record
-	changed   outbox.Changes // instances to report
+	requests  map[string]*kinds // by service
+	changed   outbox.Changes    // instances to report
 }
 
 // New returns a balancer.
 func New(c Config) *Balancer {
-	return &Balancer{config: c, instances: make(map[string]*record)}
+	return &Balancer{config: c, instances: make(map[string]*record), requests: make(map[string]*kinds)}
 }
 
 // Choose picks an instance for one request. The request's end is reported with the
@@ -96,10 +99,12 @@
 func (b *Balancer) Choose(r Request) (*Choice, error) {
 	serving := b.config.Directory.Serving(r.Service)
 	now := time.Now()
-	troubled := b.config.Unserved != nil && b.config.Unserved(r.Service) > troubleShare
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	spread := troubled && b.isNarrow(serving, now)
+	b.kinds(r.Service).add(now, r.Idempotent)
+	if rec := b.neglected(serving, r, now); rec != nil {
+		return b.start(rec, 0, now), nil
+	}
 	best, bestCost := (*record)(nil), 0.0
 	tie := min(tieCost+tieInstanceCost*float64(len(serving)), maxTieCost)
 	for _, i := range serving {
@@ -109,9 +114,6 @@
 		rec := b.record(i)
 		cost, ok := b.cost(rec, r, now)
 		cost += tie * rand.Float64()
-		if spread && !rec.usedLately(now) && b.ownsSpread(rec, now) {
-			cost -= spreadBonus
-		}
 		if ok && (best == nil || cost < bestCost) {
 			best, bestCost = rec, cost
 		}
@@ -122,22 +124,57 @@
 	return b.start(best, bestCost, now), nil
 }
 
-// isNarrow reports whether the requests of all VMs go to too small a part of a
-// service's instances.
-func (b *Balancer) isNarrow(serving []*directory.Instance, now time.Time) bool {
-	used := 0
+// neglected returns an instance that no VM uses and that this request should go to,
+// because too few of the service's instances are in use. Each VM sends there such a
+// part of its requests that all VMs together reach enough instances within
+// coverTime.
+func (b *Balancer) neglected(serving []*directory.Instance, r Request, now time.Time) *record {
+	if b.config.Recent == nil || len(r.Exclude) > 0 {
+		return nil
+	}
+	perSecond, unserved := b.config.Recent(r.Service)
+	share := calmShare
+	switch {
+	case unserved > troubleShare:
+		share = 1
+	case !r.Idempotent && b.kinds(r.Service).mostly():
+		return nil
+	}
+	unused, used := b.unused(serving, now)
+	missing := share*float64(used+len(unused)) - float64(used)
+	if missing <= 0 || rand.Float64()*perSecond*coverTime.Seconds() > missing {
+		return nil
+	}
+	slices.SortFunc(unused, func(a, b *record) int {
+		return cmp.Compare(a.condition.probability(now), b.condition.probability(now))
+	})
+	return unused[rand.IntN(int(math.Ceil(missing)))]
+}
+
+// unused returns the instances that no VM uses though nothing speaks against it, and
+// the number of those that are used.
+func (b *Balancer) unused(serving []*directory.Instance, now time.Time) (unused []*record, used int) {
 	for _, i := range serving {
-		if b.record(i).usedLately(now) {
+		rec := b.record(i)
+		switch {
+		case rec.usedLately(now):
 			used++
+		case rec.failedLately(now) || now.Before(rec.absentUntil) || now.Before(rec.pathUntil):
+		case !rec.cold(now) || b.admitsCold(rec, now):
+			unused = append(unused, rec)
 		}
 	}
-	return float64(used) < floorShare*float64(len(serving))
+	return unused, used
 }
 
-// ownsSpread reports whether it is this VM that brings an unused instance its
-// requests now.
-func (b *Balancer) ownsSpread(rec *record, now time.Time) bool {
-	return b.config.Fleet == nil || b.config.Fleet.Owns(slotName(rec.instance.ID(), now.UnixNano()/int64(spreadSlot)))
+// kinds returns the counts of a service's requests.
+func (b *Balancer) kinds(service string) *kinds {
+	k := b.requests[service]
+	if k == nil {
+		k = &kinds{}
+		b.requests[service] = k
+	}
+	return k
 }
 
 // start counts a request at an instance.
--- a/internal/target/balancer/balancer_test.go
+++ b/internal/target/balancer/balancer_test.go
@@ -177,6 +177,36 @@
 	})
 }
 
+// TestLate guards against sound instances that are avoided because some requests
+// take longer than their timeout wherever they run, and against an instance that
+// answers nothing and gets request after request.
+func TestLate(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFleet(1, 2)
+		timedOut := evidence.Outcome{Kind: evidence.TimedOut}
+		first := f.choose(t, 0)
+		first.Done(good)
+		for range 10 {
+			f.choose(t, 0).Done(good)
+			time.Sleep(300 * time.Millisecond)
+		}
+		c := f.choose(t, 0)
+		c.Done(timedOut)
+		for f.choose(t, 0).Instance() != c.Instance() { // the choice stays in progress elsewhere
+		}
+		is.True(f.choose(t, 0).View().Gray < 0.5)
+		c.Done(timedOut)
+		hanging := f.choose(t, 0)
+		hanging.Done(timedOut)
+		for range 20 {
+			other := f.choose(t, 0)
+			other.Done(good)
+			is.True(other.Instance() != hanging.Instance())
+		}
+	})
+}
+
 // TestUnreachableIsNotShared guards against an instance that all VMs avoid because
 // one of them has no path to it.
 func TestUnreachableIsNotShared(t *testing.T) {
@@ -256,19 +286,20 @@
 	})
 }
 
-// TestFloor guards against requests that all go to a few instances while many end
-// without a good answer, for example because one account is over its rate.
+// TestFloor guards against requests that all go to a few instances, so that the floor
+// is broken as soon as many end without a good answer, which may come without a
+// warning: all VMs lose power.
 func TestFloor(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		unserved := 0.0
 		f := newFleet(8, 14)
 		for i := range f.vms {
-			f.vms[i] = balancer.New(balancer.Config{Directory: &f.directory, Zone: "north", Unserved: func(string) float64 { return unserved }})
+			f.vms[i] = balancer.New(balancer.Config{Directory: &f.directory, Zone: "north", Recent: func(string) (float64, float64) { return 40, unserved }})
 		}
-		play := func() int {
+		play := func(d time.Duration) int {
 			used := make(map[string]bool)
-			for tick := range 80 { // 2 s, 40 requests a second that take 100 ms
+			for tick := range int(d.Seconds() * 40) { // 40 requests a second that take 100 ms
 				c := f.choose(t, tick%len(f.vms))
 				used[c.Instance().ID()] = true
 				time.AfterFunc(100*time.Millisecond, func() { c.Done(good) })
@@ -282,11 +313,67 @@
 			c.Done(bad)
 			f.share()
 		}
-		play()
-		is.True(play() < 10) // the failed ones are left alone
+		const look = 2 * time.Second // for which the users look at an instance
+		is.True(play(look) < 10)     // the failed ones are left alone
+		play(look)
+		is.True(float64(play(look)) >= 0.7*14)
 		unserved = 0.3
-		play()
-		is.True(float64(play()) >= 0.7*14)
+		play(look)
+		is.True(float64(play(look)) >= 0.9*14)
+		time.Sleep(time.Second)
+	})
+}
+
+// TestFloorOfSoundInstances guards against sound instances that get nothing for 2 s
+// while much goes unserved, because VMs see few requests each, learn late what the
+// others use, and count instances that are not sound into the floor. Of 38 instances
+// 15 are slow and 13 lose answers; the 10 others fail a request now and then.
+func TestFloorOfSoundInstances(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const vms, instances, sound, perSecond = 107, 38, 10, 88
+		random := rand.New(rand.NewPCG(3, 4))
+		f := newFleet(vms, instances)
+		for i := range f.vms {
+			f.vms[i] = balancer.New(balancer.Config{Directory: &f.directory, Zone: "north", Recent: func(string) (float64, float64) { return perSecond, 0.13 }})
+		}
+		fails := func(i int) bool {
+			switch {
+			case i < sound:
+				return random.Float64() < 0.05
+			case i < sound+15:
+				return random.Float64() < 0.8
+			}
+			return random.Float64() < 0.3
+		}
+		var last [instances]time.Time // a request or, for 2 s, a failure
+		start := time.Now()
+		for n := 0; time.Since(start) < 30*time.Second; n++ {
+			c := f.choose(t, random.IntN(vms))
+			var i int
+			fmt.Sscanf(c.Instance().ID(), "i-%d", &i) //nolint:errcheck // The names are this test's own.
+			last[i] = time.Now()
+			time.AfterFunc(200*time.Millisecond, func() {
+				if fails(i) {
+					last[i] = time.Now().Add(2 * time.Second)
+					c.Done(bad)
+					return
+				}
+				c.Done(good)
+			})
+			time.Sleep(time.Second / perSecond)
+			if n%(perSecond/4) == 0 { // reports every 250 ms
+				f.share()
+			}
+			unused := 0
+			for _, at := range last[:sound] {
+				if time.Since(at) > 2*time.Second {
+					unused++
+				}
+			}
+			if time.Since(start) > 5*time.Second && unused > 3 { // the floor is 0.7
+				t.Fatalf("%d of %d sound instances got nothing for 2 s", unused, sound)
+			}
+		}
 		time.Sleep(time.Second)
 	})
 }
--- a/internal/target/balancer/condition.go
+++ b/internal/target/balancer/condition.go
@@ -18,6 +18,10 @@
 	grayFailures = 0.75
 	// soundFailures is the part of the requests that fail in the sound condition.
 	soundFailures = 0.015
+	// soundTimeouts is the part of the requests that a sound instance does not answer
+	// in time. It is larger, since some requests take longer than their timeout
+	// wherever they run.
+	soundTimeouts = 0.06
 )
 
 // relaxation is the time in which the weight of old evidence falls to 1/e.
@@ -41,11 +45,15 @@
 }
 
 // observe takes in the end of one request.
-func (c *condition) observe(now time.Time, failed bool) {
+func (c *condition) observe(now time.Time, v verdict) {
 	p := c.probability(now)
 	gray, sound := 1-grayFailures, 1-soundFailures
-	if failed {
+	switch v {
+	case failed:
 		gray, sound = grayFailures, soundFailures
+	case late:
+		gray, sound = grayFailures, soundTimeouts
+	default:
 	}
 	c.gray = p * gray / (p*gray + (1-p)*sound)
 	c.at = now
--- a/internal/target/balancer/record.go
+++ b/internal/target/balancer/record.go
@@ -44,23 +44,29 @@
 	maxTieCost      = 1.0
 )
 
-// While many requests of a service end without a good answer, its requests must
-// not go to a few instances only: what looks like the instances' fault may not be.
+// While many requests of a service end without a good answer, users expect that at
+// least 0.7 of its sound instances get requests. Many may fail at once and without a
+// warning, as when all VMs lose power, and no VM can tell for certain which instances
+// are sound. So most instances are in use at any time, and all of them in trouble,
+// but those that failed of late.
 const (
-	// troubleShare is the part of requests without a good answer from which that
-	// holds. Users' bound is a tenth.
+	// calmShare is the part of the instances that get requests at any time.
+	calmShare = 0.8
+	// troubleShare is the part of requests without a good answer from which all
+	// instances get requests. Users' bound is a tenth.
 	troubleShare = 0.08
-	// floorShare is the part of the instances that get requests then. Users' bound
-	// is 0.7.
-	floorShare = 0.72
-	// spreadSlot is the time for which a VM owns the right to spread requests to an
-	// instance, so that not all VMs do at once.
-	spreadSlot = 500 * time.Millisecond
-	// spreadBonus brings an instance its requests then, also if it failed lately.
-	spreadBonus = 10.0
+	// idempotentShare is the part of a service's requests from which the idempotent
+	// ones alone keep instances in use, because a failed one can be repeated.
+	idempotentShare = 0.4
 	// usedTime is how long an instance counts as used after a request. The users
 	// look at 2 s.
 	usedTime = 1300 * time.Millisecond
+	// failedTime is how long an instance is left alone after a failure. The users
+	// take it for sound again after 2 s, and look at the 2 s after that.
+	failedTime = 3 * time.Second
+	// coverTime is the time in which the unused instances get a request. Some of it
+	// goes by until the other VMs know.
+	coverTime = 250 * time.Millisecond
 )
 
 // Times of avoidance.
@@ -167,6 +173,9 @@
 // usedLately reports whether the instance got a request of any VM lately.
 func (r *record) usedLately(now time.Time) bool { return now.Sub(r.lastStart) < usedTime }
 
+// failedLately reports whether the instance failed a request of any VM lately.
+func (r *record) failedLately(now time.Time) bool { return now.Sub(r.lastFailure) < failedTime }
+
 // joined reports whether the instance has joined lately and no VM has sent it a
 // request.
 func (r *record) joined(now time.Time) bool {
@@ -210,7 +219,11 @@
 		r.success(now, 1)
 	case failed:
 		r.counts.Failed++
-		r.failure(now, 1)
+		r.failure(now, failed, 1)
+		return true
+	case late:
+		r.counts.Late++
+		r.failure(now, late, 1)
 		return true
 	case unreachable:
 		r.counts.Unreached++
@@ -233,16 +246,17 @@
 
 func (r *record) success(now time.Time, n uint32) {
 	for range min(n, maxObserved) {
-		r.condition.observe(now, false)
+		r.condition.observe(now, succeeded)
 	}
 	r.lastSuccess = now
 	r.absentUntil = time.Time{}
 	clear(r.unreachedBy)
 }
 
-func (r *record) failure(now time.Time, n uint32) {
+// failure takes in requests that failed or were late.
+func (r *record) failure(now time.Time, v verdict, n uint32) {
 	for range min(n, maxObserved) {
-		r.condition.observe(now, true)
+		r.condition.observe(now, v)
 	}
 	r.lastFailure = now
 }
@@ -275,6 +289,7 @@
 	silent verdict = iota
 	succeeded
 	failed
+	late
 	unreachable
 	absent
 	full
@@ -295,8 +310,10 @@
 		return full
 	case evidence.ConnectFailed:
 		return unreachable
-	case evidence.Reset, evidence.Malformed, evidence.TimedOut:
+	case evidence.Reset, evidence.Malformed:
 		return failed
+	case evidence.TimedOut:
+		return late
 	default:
 		return silent
 	}
--- a/internal/target/balancer/report.go
+++ b/internal/target/balancer/report.go
@@ -11,6 +11,8 @@
 	Started   uint32
 	Succeeded uint32
 	Failed    uint32
+	// Late counts requests that were not answered in time.
+	Late uint32
 	// Unreached counts failed connections, and Absent answers of another instance
 	// at the address.
 	Unreached uint32
@@ -79,7 +81,10 @@
 		r.success(p.at, n)
 	}
 	if n := since(last.report.Failed, p.report.Failed); n > 0 {
-		r.failure(p.at, n)
+		r.failure(p.at, failed, n)
+	}
+	if n := since(last.report.Late, p.report.Late); n > 0 {
+		r.failure(p.at, late, n)
 	}
 }
 
--- a/internal/traffic/retry/fleet.go
+++ b/internal/traffic/retry/fleet.go
@@ -127,26 +127,26 @@
 	b.changed.Mark(service)
 }
 
-// troubleSeconds is the time over which unserved requests are counted, in seconds.
+// troubleSeconds is the time over which recent requests are counted, in seconds.
 const troubleSeconds = 3
 
-// UnservedShare returns the part of the last seconds' requests that ended without a
-// good answer, on all VMs.
-func (b *FleetBudget) UnservedShare(service string) float64 {
+// Recent returns the requests a second for a service on all VMs, and the part of
+// the last seconds' requests that ended without a good answer.
+func (b *FleetBudget) Recent(service string) (perSecond, unserved float64) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	now := b.second()
-	requests, unserved := 0, 0
+	requests, without := 0, 0
 	for _, c := range b.service(service).counts {
 		if now-c.second < troubleSeconds {
 			requests += c.requests
-			unserved += c.unserved
+			without += c.unserved
 		}
 	}
 	if requests == 0 {
-		return 0
+		return 0, 0
 	}
-	return float64(unserved) / float64(requests)
+	return float64(requests) / troubleSeconds, float64(without) / float64(requests)
 }
 
 // Take spends one repeat and reports whether there was one.
--- a/internal/traffic/retry/unserved_test.go
+++ b/internal/traffic/retry/unserved_test.go
@@ -10,20 +10,26 @@
 	"chestnutbay.dev/chestnutbay/internal/traffic/retry"
 )
 
-// TestUnservedShare guards against a VM that sees only its own part of what goes
-// wrong, and against trouble that counts after it is over.
-func TestUnservedShare(t *testing.T) {
+// TestRecent guards against a VM that sees only its own part of what goes wrong, and
+// against trouble that counts after it is over.
+func TestRecent(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		b := retry.NewFleetBudget(retry.FleetConfig{})
-		is.Equal(b.UnservedShare("orders"), 0.0)
+		expect := func(rate, share float64) {
+			t.Helper()
+			perSecond, unserved := b.Recent("orders")
+			is.Equal(perSecond, rate)
+			is.Equal(unserved, share)
+		}
+		expect(0, 0)
 		for range 10 {
 			b.Request("orders")
 		}
 		b.Unserved("orders")
 		b.Observe("vm-2", 1, []retry.Report{{Service: "orders", Requests: 10, Unserved: 4}}, false)
-		is.Equal(b.UnservedShare("orders"), 0.25)
+		expect(20.0/3, 0.25)
 		time.Sleep(4 * time.Second)
-		is.Equal(b.UnservedShare("orders"), 0.0)
+		expect(0, 0)
 	})
 }
