feed: a large record is pulled from VMs of the zone, not sent to all

Ruled out: the instances, which were not in trouble then, and the processor.

Now two VMs of each zone read such a record, and the others ask a VM of their zone, the later in the order the later, so that those who have it double. An announcement holds the newest record of each key only.

--- a/internal/fleet/entry/control.go
+++ b/internal/fleet/entry/control.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"math/rand/v2"
 	"net"
 	"net/netip"
 	"slices"
@@ -98,8 +99,7 @@
 	return s, nil
 }
 
-// State asks other VMs for what one of them holds, if it has read far enough: the VM
-// to ask first, then those of the own zone, then the others.
+// State asks other VMs for what one of them holds, if it has read far enough.
 func (v *VM) State(ctx context.Context, q feed.Query) (feed.State, error) {
 	asked := 0
 	for _, address := range v.peersToAsk(q.First) {
@@ -116,16 +116,24 @@
 	return feed.State{}, errNoVM
 }
 
+// peersToAsk returns a VM of the own zone, chosen at random so that not all ask the
+// same one, then the one named first, then the others.
 func (v *VM) peersToAsk(first string) []netip.AddrPort {
-	var list []netip.AddrPort
-	for _, m := range v.gossip.Present() {
-		if m.Name == first {
-			list = append([]netip.AddrPort{m.Address}, list...)
-			continue
+	present := v.gossip.Present()
+	rand.Shuffle(len(present), func(i, j int) { present[i], present[j] = present[j], present[i] })
+	var zone, named, rest []netip.AddrPort
+	for _, m := range present {
+		switch {
+		case m.Name == first:
+			named = append(named, m.Address)
+		case m.Zone == v.config.Zone:
+			zone = append(zone, m.Address)
+		default:
+			rest = append(rest, m.Address)
 		}
-		list = append(list, m.Address)
 	}
-	return append(list, v.config.Seeds...)
+	head := min(1, len(zone))
+	return slices.Concat(zone[:head], named, zone[head:], rest, v.config.Seeds)
 }
 
 func askState(ctx context.Context, address netip.AddrPort, p stateParams) (feed.State, error) {
--- a/internal/fleet/entry/message.go
+++ b/internal/fleet/entry/message.go
@@ -46,9 +46,6 @@
 	for _, r := range a.Records {
 		n += len(r.Key) + len(r.Value) + reportBytes
 	}
-	if a.Fragment != nil {
-		n += len(a.Fragment.Key) + len(a.Fragment.Data) + reportBytes
-	}
 	return n
 }
 
--- a/internal/fleet/entry/state.go
+++ b/internal/fleet/entry/state.go
@@ -11,8 +11,7 @@
 	"chestnutbay.dev/chestnutbay/internal/target/directory"
 )
 
-// maxAnnouncements bounds what waits to be announced. A read makes one, or as many
-// as a large record has fragments.
+// maxAnnouncements bounds what waits to be announced; each read makes a few.
 const maxAnnouncements = 64
 
 // announcements wait for the next datagram.
--- a/internal/fleet/feed/feed.go
+++ b/internal/fleet/feed/feed.go
@@ -108,9 +108,6 @@
 	// whether none was left out.
 	Records []Record `cbor:"5,keyasint,omitempty"`
 	Whole   bool     `cbor:"6,keyasint,omitempty"`
-	// Fragment is a part of the only record of this announcement, if that fits no
-	// datagram.
-	Fragment *Fragment `cbor:"7,keyasint,omitempty"`
 }
 
 // Times of the reads.
@@ -139,10 +136,9 @@
 	retryDelay = 250 * time.Millisecond
 	// announceBytes bounds the records in one announcement.
 	announceBytes = 900
-	// reachTime is how far back an announcement reaches, and reachBytes bounds its
-	// records: a lost datagram is made up for by the next announcements.
-	reachTime  = 2 * time.Second
-	reachBytes = 4 * announceBytes
+	// reachTime is how far back an announcement reaches if its records fit: a lost
+	// datagram is made up for by the next announcements.
+	reachTime = 2 * time.Second
 	// recordOverhead is what a record takes in an announcement beside its key and
 	// value.
 	recordOverhead = 16
@@ -154,6 +150,16 @@
 	tombstoneTime = 5 * time.Minute
 	// sweepPeriod is the time between two searches for tombstones to drop.
 	sweepPeriod = 30 * time.Second
+	// zoneReaders is how many VMs of each zone read a change that no announcement
+	// carries. The others ask them and each other.
+	zoneReaders = 2
+	// pullDelay is how long the first of the others waits for that, and pullStep how
+	// much longer each further one: the zone's VMs that have the change double in each
+	// round of asking.
+	pullDelay = 100 * time.Millisecond
+	pullStep  = 12 * time.Millisecond
+	// maxPullDelay bounds it. A configuration must be in force within 2 s.
+	maxPullDelay = 500 * time.Millisecond
 	// returnGrace is how long a registration may stay away after the store could
 	// not be read: entries that lapsed meanwhile come back within 2 s.
 	returnGrace = 2 * time.Second
@@ -172,6 +178,9 @@
 	Rank func(name string) int
 	// Peers may be nil.
 	Peers Peers
+	// ZoneRank returns how many VMs of the own zone come before this one for a name.
+	// It may be nil; then this VM is the first.
+	ZoneRank func(name string) int
 	// Significant reports whether a record says more than the last one of its key.
 	// It may be nil.
 	Significant func(t Topic, before, now []byte) bool
@@ -209,8 +218,6 @@
 	removals map[string]removal
 	history  history
 
-	fragments assembly
-
 	tombstones map[string]time.Time // when each removed key was removed
 	complete   int64                // removals from this offset on are all remembered
 	swept      time.Time
@@ -299,16 +306,6 @@
 	if a.Next > p.ahead {
 		p.ahead, p.aheadVM = a.Next, vm
 	}
-	if a.Fragment != nil && a.Next > p.next {
-		r, ok := p.fragments.add(*a.Fragment)
-		if !ok {
-			// The rest is on its way, or comes with the next announcement. Without it
-			// this VM's turn to read comes soon.
-			f.mu.Unlock()
-			return
-		}
-		a.Records = []Record{r}
-	}
 	behind := a.Next > p.next
 	switch {
 	case !behind:
--- a/internal/fleet/feed/feed_test.go
+++ b/internal/fleet/feed/feed_test.go
@@ -178,6 +178,7 @@
 			}
 		},
 		Rank:        func(string) int { return i },
+		ZoneRank:    func(string) int { return i },
 		Peers:       peers{f: f, self: i},
 		Significant: func(_ feed.Topic, before, now []byte) bool { return string(before) != string(now) },
 	})
@@ -355,8 +356,7 @@
 var large = noise(200_000)
 
 // TestLargeRecord guards against a configuration that every VM reads from the store
-// because it fits no datagram, and against one that comes late where a fragment is
-// lost.
+// because it fits no datagram, and against one that comes late by way of other VMs.
 func TestLargeRecord(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
@@ -377,6 +377,7 @@
 			time.Sleep(inForce)
 			f.expect(t, "config", config)
 		}
+		t.Log(f.store.count() - before)
 		is.True(f.store.count()-before < 300) // 20 times 30 if every VM reads
 	})
 }
--- a/internal/fleet/feed/history.go
+++ b/internal/fleet/feed/history.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 )
@@ -34,8 +35,8 @@
 }
 
 // since returns the offset from which an announcement can reach to the present and
-// the records in between, in the order of their offsets. It includes all steps
-// beyond an offset, and older ones while the records are few.
+// the newest record of each key in between, in the order of their offsets. It
+// includes all steps beyond an offset, and older ones while the records are few.
 func (h *history) since(from int64, now time.Time) (int64, []Record) {
 	size, first := 0, len(h.steps)
 	for first > 0 {
@@ -43,7 +44,7 @@
 		for _, r := range s.news {
 			size += r.size()
 		}
-		if s.next <= from && (size > reachBytes || now.Sub(s.at) > reachTime) {
+		if s.next <= from && (size > announceBytes || now.Sub(s.at) > reachTime) {
 			break
 		}
 		first--
@@ -51,11 +52,15 @@
 	if first == len(h.steps) {
 		return from, nil
 	}
-	var news []Record
+	newest := make(map[string]Record)
 	for _, s := range h.steps[first:] {
-		news = append(news, s.news...)
+		for _, r := range s.news {
+			if old, ok := newest[r.Key]; !ok || r.Offset > old.Offset {
+				newest[r.Key] = r
+			}
+		}
 	}
-	slices.SortFunc(news, func(a, b Record) int { return cmp.Compare(a.Offset, b.Offset) })
+	news := slices.SortedFunc(maps.Values(newest), func(a, b Record) int { return cmp.Compare(a.Offset, b.Offset) })
 	return h.steps[first].from, news
 }
 
--- a/internal/fleet/feed/run.go
+++ b/internal/fleet/feed/run.go
@@ -28,7 +28,7 @@
 		if ctx.Err() != nil {
 			return
 		}
-		if f.asksFirst(t) && f.ask(ctx, t) || f.read(ctx, t) {
+		if f.asksFirst(ctx, t) && f.ask(ctx, t) || f.read(ctx, t) {
 			continue
 		}
 		if f.isBehind(t) {
@@ -53,7 +53,9 @@
 			return
 		case <-f.kick[t]:
 			timer.Stop()
-			return
+			if f.isBehind(t) { // The records may have come by another way.
+				return
+			}
 		case <-timer.C:
 		}
 		f.mu.Lock()
@@ -82,12 +84,22 @@
 }
 
 // asksFirst reports whether another VM is the better source: it has read further,
-// and this VM is refused by the store or lacks a few small records only.
-func (f *Feed) asksFirst(t Topic) bool {
+// and this VM is refused by the store, or lacks a few small records, or is not one of
+// those that read a large one. It waits until the others may have it.
+func (f *Feed) asksFirst(ctx context.Context, t Topic) bool {
 	f.mu.Lock()
-	defer f.mu.Unlock()
 	p := &f.topics[t]
-	return p.loaded && p.ahead > p.next && (p.lost || t == Instances)
+	behind, lost := p.loaded && p.ahead > p.next, p.lost
+	f.mu.Unlock()
+	if !behind || lost || t == Instances || f.config.ZoneRank == nil {
+		return behind && (lost || t == Instances)
+	}
+	rank := f.config.ZoneRank(t.String())
+	if rank < zoneReaders {
+		return false
+	}
+	sleep(ctx, min(pullDelay+time.Duration(rank)*pullStep, maxPullDelay))
+	return true
 }
 
 // read brings the topic up to date from the store and announces the result.
@@ -151,7 +163,7 @@
 }
 
 // split spreads the records of an announcement over several that fit a datagram
-// each.
+// each. A record that fits none is left out, and its announcement is not whole.
 func split(a Announcement) []Announcement {
 	if !a.Whole || len(a.Records) == 0 {
 		return []Announcement{a}
@@ -164,8 +176,11 @@
 		if i == len(groups)-1 {
 			part.Next = a.Next
 		}
-		list = append(list, part.datagrams()...)
-		part.From = part.Next
+		if len(group) == 1 && group[0].size() > announceBytes {
+			part.Records, part.Whole = nil, false
+		}
+		list = append(list, part)
+		part.From, part.Whole = part.Next, true
 	}
 	return list
 }
@@ -185,27 +200,6 @@
 	return groups
 }
 
-// datagrams returns the announcement as it is, or with the fragments of its only
-// record if that fits no datagram. A record that is too large for fragments is left
-// out, and its announcement is not whole.
-func (a Announcement) datagrams() []Announcement {
-	if len(a.Records) > 1 || a.Records[0].size() <= announceBytes {
-		return []Announcement{a}
-	}
-	fragments := fragment(a.Records[0])
-	a.Records = nil
-	if fragments == nil {
-		a.Whole = false
-		return []Announcement{a}
-	}
-	list := make([]Announcement, len(fragments))
-	for i := range fragments {
-		list[i] = a
-		list[i].Fragment = &fragments[i]
-	}
-	return list
-}
-
 func (f *Feed) failed(t Topic, err error) {
 	f.mu.Lock()
 	p := &f.topics[t]
--- a/internal/fleet/gossip/presence.go
+++ b/internal/fleet/gossip/presence.go
@@ -52,13 +52,22 @@
 // Rank returns how many present members come before this VM for a name, by
 // rendezvous hash. Members that hear each other agree on the order.
 func (g *Gossip) Rank(name string) int {
+	return g.rank(name, func(Member) bool { return true })
+}
+
+// ZoneRank is the Rank among the members of the own zone.
+func (g *Gossip) ZoneRank(name string) int {
+	return g.rank(name, func(m Member) bool { return m.Zone == g.config.Self.Zone })
+}
+
+func (g *Gossip) rank(name string, counts func(Member) bool) int {
 	now := time.Now()
 	own := weight(name, g.config.Self.Name)
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	rank := 0
 	for _, c := range g.members {
-		if c.present(now) && weight(name, c.member.Name) > own {
+		if c.present(now) && counts(c.member) && weight(name, c.member.Name) > own {
 			rank++
 		}
 	}
--- a/internal/target/balancer/report.go
+++ b/internal/target/balancer/report.go
@@ -67,27 +67,39 @@
 	case last.incarnation != p.incarnation:
 		last = peer{}
 	}
-	if n := since(last.report.Started, p.report.Started); n > 0 {
-		r.recent.add(p.at, float64(n))
+	news := p.report.since(last.report)
+	if news.Started > 0 {
+		r.recent.add(p.at, float64(news.Started))
 		r.lastStart = p.at
 	}
-	if since(last.report.Unreached, p.report.Unreached) > 0 {
+	if news.Unreached > 0 {
 		r.notReached(vm, p.at)
 	}
-	if since(last.report.Absent, p.report.Absent) > 0 {
+	if news.Absent > 0 {
 		r.absentUntil = p.at.Add(absentTime)
 	}
-	if n := since(last.report.Succeeded, p.report.Succeeded); n > 0 {
-		r.success(p.at, n)
+	if news.Succeeded > 0 {
+		r.success(p.at, news.Succeeded)
 	}
-	if n := since(last.report.Failed, p.report.Failed); n > 0 {
-		r.failure(p.at, failed, n)
+	if news.Failed > 0 {
+		r.failure(p.at, failed, news.Failed)
 	}
-	if n := since(last.report.Late, p.report.Late); n > 0 {
-		r.failure(p.at, late, n)
+	if news.Late > 0 {
+		r.failure(p.at, late, news.Late)
 	}
 }
 
+// since returns what a report counts beyond an earlier one.
+func (r Report) since(before Report) Report {
+	r.Started = since(before.Started, r.Started)
+	r.Succeeded = since(before.Succeeded, r.Succeeded)
+	r.Failed = since(before.Failed, r.Failed)
+	r.Late = since(before.Late, r.Late)
+	r.Unreached = since(before.Unreached, r.Unreached)
+	r.Absent = since(before.Absent, r.Absent)
+	return r
+}
+
 // since returns how far a running count has come. A count that went back belongs
 // to a record that the other VM started anew.
 func since(before, now uint32) uint32 {
