ingress: an upload whose instance breaks off is never an empty success

Cause: an instance reset the connection while the VM still read the caller's upload. The read is interrupted by a deadline, net/http then cancels the request's context, the VM took the caller for gone and wrote nothing, and net/http answers 200 for a handler that writes nothing. Ruled out: the caller had not left (its connection was open), the instance had not answered.

An interrupted read no longer counts as a caller who left: the answer is 502, since the request may have run. A caller who did leave gets a reset. TestUploadBreaksOff failed first (200 instead of 502).

--- a/internal/traffic/ingress/failure.go
+++ b/internal/traffic/ingress/failure.go
@@ -4,6 +4,8 @@
 	"net/http"
 	"strconv"
 	"time"
+
+	"chestnutbay.dev/chestnutbay/internal/traffic/message"
 )
 
 // reason says why a request ended as it did, for logs, metrics and callers.
@@ -57,6 +59,8 @@
 func (x *exchange) refuse(f *failure) {
 	x.result = result{status: f.status, reason: f.reason}
 	if f.reason == callerLeft {
+		// Without an answer, net/http would send an empty one with status 200.
+		message.Abort(x.rc)
 		return
 	}
 	h := x.w.Header()
--- a/internal/traffic/ingress/fake_test.go
+++ b/internal/traffic/ingress/fake_test.go
@@ -194,12 +194,22 @@
 
 func newBench(t *testing.T, scripts ...func(id string, n int) answer) (*bench, []*target) {
 	t.Helper()
-	var d directory.Directory
+	var addresses []string
 	var targets []*target
-	for i, s := range scripts {
+	for _, s := range scripts {
 		g := newTarget(t, s)
 		targets = append(targets, g)
-		d.Put(directory.NewInstance(directory.Registration{ID: "i-" + strconv.Itoa(i), Service: "orders", Address: g.listener.Addr().String(), Zone: "north", Slots: 2}))
+		addresses = append(addresses, g.listener.Addr().String())
+	}
+	return newBenchAt(t, addresses...), targets
+}
+
+// newBenchAt returns a server before instances at addresses.
+func newBenchAt(t *testing.T, addresses ...string) *bench {
+	t.Helper()
+	var d directory.Directory
+	for i, a := range addresses {
+		d.Put(directory.NewInstance(directory.Registration{ID: "i-" + strconv.Itoa(i), Service: "orders", Address: a, Zone: "north", Slots: 2}))
 	}
 	b := &bench{t: t, table: table(t)}
 	b.server = ingress.New(ingress.Config{
@@ -215,7 +225,7 @@
 		b.server.Close()
 		group.Wait() //nolint:errcheck // Serve ends with ErrServerClosed.
 	})
-	return b, targets
+	return b
 }
 
 // reply is what a caller got.
--- a/internal/traffic/ingress/forward.go
+++ b/internal/traffic/ingress/forward.go
@@ -103,6 +103,8 @@
 func (x *exchange) again(a *attempt) reason {
 	sent, unreached := x.sends()
 	switch {
+	case x.body.Interrupted():
+		return failureOf(a)
 	case x.ctx.Err() != nil:
 		return timedOut
 	case a.sent.BodyError() != nil:
@@ -210,7 +212,7 @@
 
 // conclude answers without a good answer of an instance.
 func (x *exchange) conclude(last *attempt, why reason) {
-	if x.r.Context().Err() != nil {
+	if x.r.Context().Err() != nil && !x.body.Interrupted() {
 		x.refuse(&failure{status: statusCallerLeft, reason: callerLeft})
 		return
 	}
@@ -227,7 +229,7 @@
 	case !ran:
 		x.refund()
 		x.refuse(&failure{status: http.StatusServiceUnavailable, reason: why, retryAfter: busyRetryAfter})
-	case why == timedOut || x.ctx.Err() != nil:
+	case why == timedOut || time.Now().After(x.deadline):
 		x.refuse(&failure{status: http.StatusGatewayTimeout, reason: timedOut})
 	default:
 		x.refuse(&failure{status: http.StatusBadGateway, reason: why})
--- a/internal/traffic/ingress/ingress_test.go
+++ b/internal/traffic/ingress/ingress_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"bufio"
+	"io"
+	"net"
 	"net/http"
 	"strconv"
 	"strings"
@@ -9,6 +11,7 @@
 	"time"
 
 	"github.com/matryer/is"
+	"golang.org/x/sync/errgroup"
 
 	"chestnutbay.dev/chestnutbay/internal/contract/routing"
 )
@@ -261,6 +264,46 @@
 	}
 }
 
+// TestUploadBreaksOff guards against an empty success for an upload whose instance
+// resets the connection: net/http takes the caller for gone once the read of its body
+// is interrupted, and answers 200 where the handler writes nothing.
+func TestUploadBreaksOff(t *testing.T) {
+	is := is.New(t)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	var group errgroup.Group
+	group.Go(func() error {
+		c, err := l.Accept()
+		if err != nil {
+			return err
+		}
+		if _, err := io.CopyN(io.Discard, c, 64<<10); err != nil {
+			return err
+		}
+		c.(*net.TCPConn).SetLinger(0) //nolint:errcheck // The test fails without the reset.
+		return c.Close()
+	})
+	b := newBenchAt(t, l.Addr().String())
+	body, sent := io.Pipe()
+	group.Go(func() error {
+		_, err := sent.Write(make([]byte, 600<<10)) // the rest never comes
+		return err
+	})
+	r, err := http.NewRequest(http.MethodPost, "http://"+b.address+"/order/1", body)
+	is.NoErr(err)
+	r.ContentLength = 700 << 10
+	r.Host = "shop"
+	r.Header.Set("Authorization", "Bearer "+key)
+	r.Header.Set("X-Request", "r-1")
+	resp, err := (&http.Transport{DisableKeepAlives: true}).RoundTrip(r)
+	is.NoErr(err)
+	is.Equal(resp.StatusCode, http.StatusBadGateway) // it may have run
+	resp.Body.Close()
+	body.Close()
+	l.Close()
+	group.Wait() //nolint:errcheck // The writer ends with the pipe.
+}
+
 // TestLongAnswerBreaksOff guards against a long answer that broke off and looks
 // complete.
 func TestLongAnswerBreaksOff(t *testing.T) {
--- a/internal/traffic/message/body.go
+++ b/internal/traffic/message/body.go
@@ -85,6 +85,14 @@
 	b.rc.SetReadDeadline(time.Unix(1, 0)) //nolint:errcheck // See above.
 }
 
+// Interrupted reports whether a read was made to fail. net/http then takes the caller
+// for gone, though it may not be.
+func (b *Body) Interrupted() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.stopped
+}
+
 // Untouched reports whether nothing of the body was read.
 func (b *Body) Untouched() bool {
 	b.mu.Lock()
