gossip: a VM that does not know the fleet is not all of it

Cause: a VM that had just started and could not read the list of VMs took itself for the whole fleet and admitted the whole rate of each account beside the others. Until it has read the list or has run for 2.5 s, in which the others make themselves heard, it uses a fiftieth. TestStranger failed first.

--- a/internal/fleet/gossip/gossip_test.go
+++ b/internal/fleet/gossip/gossip_test.go
@@ -111,7 +111,18 @@
 	return f
 }
 
+// start starts a VM that has read the list.
 func (f *fleet) start(i int, zone string, incarnation uint64) *vm {
+	v := f.startUnlisted(i, zone, incarnation)
+	var listed []gossip.Member
+	for _, other := range f.vms {
+		listed = append(listed, other.member)
+	}
+	v.gossip.MeetAll(listed)
+	return v
+}
+
+func (f *fleet) startUnlisted(i int, zone string, incarnation uint64) *vm {
 	address := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, byte(i / 250), byte(i%250 + 1)}), 7000)
 	p := &port{net: f.net, address: address.String(), in: make(chan []byte, 4096), closed: make(chan struct{})}
 	f.net.mu.Lock()
@@ -138,11 +149,6 @@
 			v.gone = append(v.gone, name)
 		},
 	})
-	var listed []gossip.Member
-	for _, other := range f.vms {
-		listed = append(listed, other.member)
-	}
-	v.gossip.MeetAll(listed)
 	ctx, cancel := context.WithCancel(context.Background())
 	v.cancel = cancel
 	f.group.Go(func() error { return v.gossip.Run(ctx) })
@@ -282,6 +288,23 @@
 	})
 }
 
+// TestStranger guards against a VM that takes itself for the whole fleet because it has
+// just started and could not read the list, and admits the whole rate of each account.
+func TestStranger(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFleet(1, 5)
+		defer f.stop()
+		time.Sleep(5 * time.Second)
+		stranger := f.startUnlisted(5, "zone-0", 6)
+		is.True(stranger.gossip.Heard() < 1.0/6)
+		time.Sleep(time.Second)
+		is.True(stranger.gossip.Heard() < 1.0/6)
+		time.Sleep(2 * time.Second)
+		is.Equal(stranger.gossip.Heard(), 1.0) // by now it has been heard of
+	})
+}
+
 // TestForgotten guards against VMs that are gone and count as members for ever, and
 // against a planned stop that counts as silence.
 func TestForgotten(t *testing.T) {
--- a/internal/fleet/gossip/presence.go
+++ b/internal/fleet/gossip/presence.go
@@ -7,11 +7,19 @@
 	"time"
 )
 
+// strangerPart is the part of the fleet that a VM counts as heard while it has just
+// started and does not know the fleet: the list could not be read, and the others have
+// not had the time to be heard.
+const strangerPart = 0.02
+
 // Heard returns the part of the members that were heard lately, this VM included.
 func (g *Gossip) Heard() float64 {
 	now := time.Now()
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	if !g.listed && now.Sub(g.start) < presentTime {
+		return strangerPart
+	}
 	heard := 1
 	for _, c := range g.members {
 		if c.present(now) {
