feed: an instance that leaves after the store's return is not kept

Cause: after the store was away, removals are held, because entries that lapsed meanwhile come back within 2 s of its return. The 2 s began anew with each removal, so an instance that left 1.9 s after the return got requests for up to 2 s after its removal was read, later than the 2 s that its leaving may take. They now end 2 s after the return. TestLeavesAfterReturn failed first.

--- a/internal/fleet/feed/feed.go
+++ b/internal/fleet/feed/feed.go
@@ -391,10 +391,11 @@
 	if t != Instances || r.Value != nil {
 		return false
 	}
-	if time.Since(p.regained) > returnGrace {
+	due := p.regained.Add(returnGrace)
+	if time.Now().After(due) {
 		return false
 	}
-	p.removals[r.Key] = removal{record: r, due: time.Now().Add(returnGrace)}
+	p.removals[r.Key] = removal{record: r, due: due}
 	return true
 }
 
--- a/internal/fleet/feed/feed_test.go
+++ b/internal/fleet/feed/feed_test.go
@@ -481,6 +481,28 @@
 	})
 }
 
+// TestLeavesAfterReturn guards against an instance that leaves soon after the store is
+// back and is kept for longer than an entry that lapsed may take to come back.
+func TestLeavesAfterReturn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(2)
+		defer f.stop()
+		f.store.put(feed.Instances, "i-1", "ready")
+		time.Sleep(2 * time.Second)
+		f.store.mu.Lock()
+		f.store.down = func(int) bool { return true }
+		f.store.mu.Unlock()
+		time.Sleep(5 * time.Second)
+		f.store.mu.Lock()
+		f.store.down = nil
+		f.store.mu.Unlock()
+		time.Sleep(1700 * time.Millisecond)
+		f.store.put(feed.Instances, "i-1", "")
+		time.Sleep(inForce - 200*time.Millisecond) // the rest is for the network and the processor
+		f.expect(t, "i-1", "")
+	})
+}
+
 // TestNeverBack guards against an older record that replaces a newer one because
 // it arrives later by another way.
 func TestNeverBack(t *testing.T) {
