--- a/internal/fleet/entry/control.go
+++ b/internal/fleet/entry/control.go
@@ -102,7 +102,7 @@
 // State asks other VMs for what one of them holds, if it has read far enough.
 func (v *VM) State(ctx context.Context, q feed.Query) (feed.State, error) {
 	asked := 0
-	for _, address := range v.peersToAsk(q.First) {
+	for _, address := range v.peersToAsk(q) {
 		if address == v.config.Fleet || asked == maxAsked {
 			continue
 		}
@@ -116,15 +116,17 @@
 	return feed.State{}, errNoVM
 }
 
-// peersToAsk returns a VM of the own zone, chosen at random so that not all ask the
-// same one, then the one named first, then the others.
-func (v *VM) peersToAsk(first string) []netip.AddrPort {
+// peersToAsk returns VMs of the own zone in random order, so that not all ask the same
+// one. After the first of them come the one named in the query, then the rest of the
+// zone and the others, unless only near ones are wanted.
+func (v *VM) peersToAsk(q feed.Query) []netip.AddrPort {
 	present := v.gossip.Present()
 	rand.Shuffle(len(present), func(i, j int) { present[i], present[j] = present[j], present[i] })
 	var zone, named, rest []netip.AddrPort
 	for _, m := range present {
 		switch {
-		case m.Name == first:
+		case m.Zone != v.config.Zone && q.Near:
+		case m.Name == q.First:
 			named = append(named, m.Address)
 		case m.Zone == v.config.Zone:
 			zone = append(zone, m.Address)
@@ -133,7 +135,11 @@
 		}
 	}
 	head := min(1, len(zone))
-	return slices.Concat(zone[:head], named, zone[head:], rest, v.config.Seeds)
+	list := slices.Concat(zone[:head], named, zone[head:], rest)
+	if q.Near {
+		return list
+	}
+	return append(list, v.config.Seeds...)
 }
 
 func askState(ctx context.Context, address netip.AddrPort, p stateParams) (feed.State, error) {
--- a/internal/fleet/entry/entry.go
+++ b/internal/fleet/entry/entry.go
@@ -202,7 +202,7 @@
 // Run serves until ctx ends and the planned stop is over.
 func (v *VM) Run(ctx context.Context) error {
 	log := v.config.Logger
-	log.Info("VM starts", zap.String("vm", v.config.Name), zap.String("zone", v.config.Zone), zap.Uint64("incarnation", v.incarnation))
+	log.Info("VM starts", zap.String("zone", v.config.Zone), zap.Uint64("incarnation", v.incarnation))
 	background, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 	group, inner := errgroup.WithContext(background)
@@ -229,7 +229,7 @@
 	}
 	stop()
 	err := group.Wait()
-	log.Info("VM stops", zap.String("vm", v.config.Name), zap.Error(err))
+	log.Info("VM stops", zap.Error(err))
 	return err
 }
 
--- a/internal/fleet/feed/feed.go
+++ b/internal/fleet/feed/feed.go
@@ -83,8 +83,11 @@
 	From int64
 	// Least is the offset up to which the other VM must have read.
 	Least int64
-	// First is the VM to ask before the others, or "".
+	// First is a VM that has read far enough, or "".
 	First string
+	// Near leaves out VMs of other zones: what crosses zones costs more than a call
+	// to the store.
+	Near bool
 }
 
 // State is what a VM holds of a topic: the newest record of each key, from an offset
--- a/internal/fleet/feed/run.go
+++ b/internal/fleet/feed/run.go
@@ -221,7 +221,7 @@
 	defer cancel()
 	f.mu.Lock()
 	p := &f.topics[t]
-	q := Query{Topic: t, From: p.next, Least: p.ahead, First: p.aheadVM}
+	q := Query{Topic: t, From: p.next, Least: p.ahead, First: p.aheadVM, Near: t == Configuration && p.loaded && !p.lost}
 	f.mu.Unlock()
 	s, err := f.config.Peers.State(ctx, q)
 	if err != nil {
--- a/internal/fleet/gossip/gossip.go
+++ b/internal/fleet/gossip/gossip.go
@@ -440,7 +440,7 @@
 	}
 	g.mu.Unlock()
 	for _, name := range gone {
-		g.config.Logger.Info("VM is no longer a member", zap.String("vm", name), zap.Duration("silent", forgetTime))
+		g.config.Logger.Info("VM is no longer a member", zap.String("other", name), zap.Duration("silent", forgetTime))
 		if g.config.Forgotten != nil {
 			g.config.Forgotten(name)
 		}
--- a/internal/target/balancer/balancer_test.go
+++ b/internal/target/balancer/balancer_test.go
@@ -177,6 +177,51 @@
 	})
 }
 
+// TestOwnZone guards against requests that cross availability zones though their own
+// has free instances, and against a zone's instances that are pressed while others
+// are free.
+func TestOwnZone(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const vms, each = 9, 27
+		f := newFleet(0, 0)
+		for i := range 3 * each {
+			f.directory.Put(directory.NewInstance(directory.Registration{
+				ID: fmt.Sprintf("i-%d", i), Service: "orders", Address: fmt.Sprintf("10.0.0.%d:80", i), Zone: fmt.Sprint("zone-", i%3), Slots: 2, Started: 1,
+			}))
+		}
+		for i := range vms {
+			f.vms = append(f.vms, balancer.New(balancer.Config{Directory: &f.directory, Zone: fmt.Sprint("zone-", i%3)}))
+		}
+		// play sends requests that last 200 ms and returns the part that stays in the
+		// zone of its VM.
+		play := func(perSecond int, vm func(n int) int) float64 {
+			own := 0
+			for n := range 4 * perSecond {
+				v := vm(n)
+				c := f.choose(t, v)
+				if c.Instance().Zone() == fmt.Sprint("zone-", v%3) {
+					own++
+				}
+				time.AfterFunc(200*time.Millisecond, func() { c.Done(good) })
+				time.Sleep(time.Second / time.Duration(perSecond))
+				if n%8 == 0 {
+					f.share()
+				}
+			}
+			time.Sleep(time.Second)
+			return float64(own) / float64(4*perSecond)
+		}
+		even := play(150, func(n int) int { return n % vms }) // a fifth of the slots
+		if even < 0.6 {
+			t.Errorf("%.2f of the requests stay in their zone", even)
+		}
+		// All requests come to one zone, which has slots for 270 a second.
+		if shifted := play(500, func(n int) int { return n % 3 * 3 }); shifted > 0.6 {
+			t.Errorf("%.2f of the requests stay in a zone that has slots for 0.54", shifted)
+		}
+	})
+}
+
 // TestLate guards against sound instances that are avoided because some requests
 // take longer than their timeout wherever they run, and against an instance that
 // answers nothing and gets request after request.
--- a/internal/target/balancer/record.go
+++ b/internal/target/balancer/record.go
@@ -27,8 +27,9 @@
 	busyCost = 0.3
 	// waitCost is the cost of waiting for each further request.
 	waitCost = 1.5
-	// remoteZoneCost prefers the own availability zone among equals.
-	remoteZoneCost = 0.02
+	// remoteZoneCost prefers the own availability zone while it has free slots: what
+	// crosses zones is charged for, and other zones' loads are known later.
+	remoteZoneCost = 0.15
 	// remoteByteCost is the cost of each byte of a body that crosses zones, which
 	// the platform charges for: an upload of 60 kB to another zone costs about a
 	// seventh of a failed request.
