message: refuse a key given twice, serve the absolute form

A request with Chestnutbay-Key or a bearer Authorization twice got 200 if both values were equal: the fleet and a target might take different ones. It is refused with 400 on both listeners, like other repeated headers that decide. Authorization of another scheme beside it stays the target's business (TestHeaders).

A request target in absolute form was refused with 400 if its host and the Host header differ, also by a port. RFC 9112 tells servers to ignore the header beside it; net/http routes by the target already.

--- a/internal/traffic/gateway/header.go
+++ b/internal/traffic/gateway/header.go
@@ -23,7 +23,7 @@
 	// to the target.
 	DeadlineHeader = "Chestnutbay-Deadline-Ms"
 	// KeyHeader carries the caller's key.
-	KeyHeader = "Chestnutbay-Key"
+	KeyHeader = message.KeyHeader
 	// NotRunHeader is "true" in a target's response with status 503 if the target
 	// refused the request without running it.
 	NotRunHeader = "Chestnutbay-Not-Run"
--- a/internal/traffic/message/framing.go
+++ b/internal/traffic/message/framing.go
@@ -20,7 +20,9 @@
 	"fmt"
 	"net"
 	"net/http"
+	"net/textproto"
 	"net/url"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -32,6 +34,9 @@
 // starts with the listener's secret, so that callers cannot forge it.
 const refusedHeader = "Chestnutbay-Refused"
 
+// KeyHeader carries a caller's key, as an alternative to Authorization.
+const KeyHeader = "Chestnutbay-Key"
+
 const (
 	// maxLeadingEmptyLines is how many empty lines before a request line are skipped.
 	maxLeadingEmptyLines = 2
@@ -341,6 +346,7 @@
 	hosts           []string
 	lengths         []string
 	transferCodings []string
+	credentials     []string // canonical names of the headers that carry a key
 }
 
 // checkHead parses a complete head. It accepts only heads that every parser understands
@@ -409,6 +415,8 @@
 		h.lengths = append(h.lengths, value)
 	case strings.EqualFold(name, "Transfer-Encoding"):
 		h.transferCodings = append(h.transferCodings, value)
+	case carriesKey(name, value):
+		return h.addCredential(name)
 	case strings.EqualFold(name, "Expect"):
 		if !strings.EqualFold(value, "100-continue") {
 			return &FramingError{status: http.StatusExpectationFailed, reason: "unknown expectation"}
@@ -417,8 +425,30 @@
 	return nil
 }
 
+// addCredential refuses a header that carries a key for the second time: the fleet and
+// a target might each take another value of it.
+func (h *head) addCredential(name string) *FramingError {
+	canonical := textproto.CanonicalMIMEHeaderKey(name)
+	if slices.Contains(h.credentials, canonical) {
+		return malformed("more than one " + canonical)
+	}
+	h.credentials = append(h.credentials, canonical)
+	return nil
+}
+
+// carriesKey reports whether a header carries a key of the caller. An Authorization of
+// another scheme than Bearer is the target's business.
+func carriesKey(name, value string) bool {
+	if strings.EqualFold(name, "Authorization") {
+		_, ok := Bearer(value)
+		return ok
+	}
+	return strings.EqualFold(name, KeyHeader)
+}
+
 // checkHost requires exactly one Host header, which HTTP/1.0 may omit. If the request
-// target is an absolute URL, its host must be the same.
+// target is an absolute URL, its host counts and the Host header is ignored, as RFC 9112
+// asks; net/http does so too.
 func (h *head) checkHost() *FramingError {
 	if len(h.hosts) > 1 || (len(h.hosts) == 0 && h.minorVersion == 1) {
 		return malformed("a request needs exactly one Host header")
@@ -441,9 +471,6 @@
 	if u.Scheme != "http" && u.Scheme != "https" || u.Host == "" || u.User != nil {
 		return malformed("malformed request target")
 	}
-	if len(h.hosts) == 1 && !strings.EqualFold(u.Host, h.hosts[0]) {
-		return malformed("the request target and the Host header name different hosts")
-	}
 	return nil
 }
 
