ingress: instances that leave, that ask for a pause, that send copies

- Server-Leaving: 1 in any response but a 421: the run of the instance (ID and start) gets no request from this VM from then on, whatever its entry says, over removals, returns of its zone and late notices of an earlier run.
- 503 with Retry-After: this VM sends nothing there until the time is over (fractions, dates, absurd and negative values defined in message.RetryAfter, at most 2 min).
If all instances of a service have asked for a pause, requests are refused at once with the soonest end and a random part.
- A late second copy of a response on a connection in use again was a 502 (or a retry) for the next request.
The copy is told by its request ID, dropped, and the response behind it is served; the connection is then closed.
A success without the request's ID is not accepted any more: such a copy reached the next caller.

Records that cannot be used are logged once a key, bounded.

--- a/internal/fleet/entry/entry.go
+++ b/internal/fleet/entry/entry.go
@@ -34,6 +34,7 @@
 	"chestnutbay.dev/chestnutbay/internal/fleet/gossip"
 	"chestnutbay.dev/chestnutbay/internal/limit/quota"
 	"chestnutbay.dev/chestnutbay/internal/target/balancer"
+	"chestnutbay.dev/chestnutbay/internal/target/departure"
 	"chestnutbay.dev/chestnutbay/internal/target/directory"
 	"chestnutbay.dev/chestnutbay/internal/traffic/ingress"
 	"chestnutbay.dev/chestnutbay/internal/traffic/retry"
@@ -92,6 +93,7 @@
 	table       atomic.Pointer[routing.Table]
 	directory   directory.Directory
 	balancer    *balancer.Balancer
+	departures  *departure.Notices
 	quota       *quota.Quota
 	budget      *retry.FleetBudget
 	feed        *feed.Feed
@@ -102,6 +104,7 @@
 	gracePeriod atomic.Int64 // a time.Duration
 	outbox      announcementQueue
 	silentVMs   chan string // silent VMs to remove from the store's list
+	refusals    refusals
 
 	callersListener, readinessListener, metricsListener, controlListener net.Listener
 }
@@ -161,6 +164,7 @@
 		Directory: &v.directory, Warmup: v, Fleet: v.gossip, Zone: c.Zone, Changed: v.gossip.RequestSend,
 		RecentTraffic: func(service string) (float64, float64) { return v.budget.RecentTraffic(service) },
 	})
+	v.departures = departure.New(departure.Config{Directory: &v.directory, Changed: v.gossip.RequestSend})
 	v.quota = quota.New(quota.Config{Presence: v.gossip, Changed: v.gossip.RequestSend})
 	v.budget = retry.NewFleetBudget(retry.FleetConfig{Ratio: c.RetryRatio, Slack: c.RetrySlack, Heard: v.gossip.Heard, FirstStart: c.FirstStart})
 	v.feed = feed.New(feed.Config{
@@ -169,7 +173,7 @@
 	})
 	v.server = ingress.New(ingress.Config{
 		Table: v.table.Load, Balancer: v.balancer, Quota: v.quota, RetryBudget: v.budget, Headers: c.Headers,
-		VMs: v.gossip.Size, Metrics: ingress.NewMetrics(v.registry), Logger: c.Logger,
+		Left: v.departures.Record, VMs: v.gossip.Size, Metrics: ingress.NewMetrics(v.registry), Logger: c.Logger,
 	})
 	v.gracePeriod.Store(int64(c.GracePeriod))
 	v.registerMetrics()
--- a/internal/fleet/entry/message.go
+++ b/internal/fleet/entry/message.go
@@ -8,6 +8,7 @@
 	"chestnutbay.dev/chestnutbay/internal/fleet/gossip"
 	"chestnutbay.dev/chestnutbay/internal/limit/quota"
 	"chestnutbay.dev/chestnutbay/internal/target/balancer"
+	"chestnutbay.dev/chestnutbay/internal/target/departure"
 	"chestnutbay.dev/chestnutbay/internal/traffic/retry"
 )
 
@@ -17,6 +18,7 @@
 	Accounts      []quota.Report      `cbor:"2,keyasint,omitempty"`
 	Services      []retry.Report      `cbor:"3,keyasint,omitempty"`
 	Announcements []feed.Announcement `cbor:"4,keyasint,omitempty"`
+	Departures    []departure.Notice  `cbor:"5,keyasint,omitempty"`
 }
 
 // maxReportBytes is an upper bound for the encoded size of one report without its name.
@@ -37,6 +39,9 @@
 	for _, a := range p.Announcements {
 		n += announcementSize(a)
 	}
+	for _, d := range p.Departures {
+		n += len(d.Instance) + maxReportBytes
+	}
 	return n
 }
 
@@ -72,6 +77,10 @@
 		p := c.payloadFor(announcementSize(a))
 		p.Announcements = append(p.Announcements, a)
 	}
+	for _, d := range v.departures.Reports() {
+		p := c.payloadFor(len(d.Instance) + maxReportBytes)
+		p.Departures = append(p.Departures, d)
+	}
 	for _, r := range v.balancer.Reports() {
 		p := c.payloadFor(len(r.Instance) + maxReportBytes)
 		p.Instances = append(p.Instances, r)
@@ -87,7 +96,7 @@
 	if len(c.payloads) == 0 {
 		c.payloads = append(c.payloads, payload{})
 	}
-	if v.balancer.Dirty() || v.quota.Dirty() {
+	if v.departures.Dirty() || v.balancer.Dirty() || v.quota.Dirty() {
 		v.gossip.RequestSend(false)
 	}
 	var encoded [][]byte
@@ -115,6 +124,7 @@
 	for _, a := range p.Announcements {
 		v.feed.HandleAnnouncement(from.Name, a)
 	}
+	v.departures.Observe(p.Departures)
 	v.balancer.Observe(from.Name, from.Incarnation, p.Instances, from.Baseline)
 	v.quota.Observe(from.Name, from.Incarnation, p.Accounts, v.limits, from.Baseline)
 	v.budget.Observe(from.Name, from.Incarnation, p.Services, from.Baseline)
--- a/internal/fleet/entry/state.go
+++ b/internal/fleet/entry/state.go
@@ -56,20 +56,28 @@
 // instances.
 func (v *VM) apply(t feed.Topic, r feed.Record, loaded bool) {
 	log := v.config.Logger
+	key := recordKey{topic: t, key: r.Key}
 	switch u := v.config.Decoder.Decode(t, r).(type) {
 	case feed.ConfigurationUpdate:
+		v.refusals.remove(key)
 		v.applyConfiguration(u.Config, r.Offset)
 	case feed.ZoneUpdate:
 		v.applyZone(u, r.Offset)
 	case feed.InstanceUpdate:
+		v.refusals.remove(key)
 		v.applyInstance(u, r.Offset, loaded)
 	case feed.InstanceRemoval:
+		if u.Invalid == "" {
+			v.refusals.remove(key)
+		} else {
+			v.logRefusal(t, r, u.Invalid)
+		}
 		if v.directory.Remove(u.ID) {
 			v.balancer.Forget(u.ID)
 			log.Info("instance is gone", zap.String("instance", u.ID), zap.Int64("offset", r.Offset))
 		}
 	case feed.UnreadableRecord:
-		log.Warn("record cannot be used", zap.Stringer("topic", t), zap.String("key", u.Key), zap.Int64("offset", r.Offset), zap.String("why", u.Reason))
+		v.logRefusal(t, r, u.Reason)
 	}
 }
 
--- a/internal/fleet/feed/update.go
+++ b/internal/fleet/feed/update.go
@@ -34,6 +34,9 @@
 // InstanceRemoval reports that an instance is no longer registered.
 type InstanceRemoval struct {
 	ID string
+	// Invalid says why the record names no usable instance. It is "" if the record was
+	// removed.
+	Invalid string
 }
 
 // UnreadableRecord is a record with an unknown key or a value that cannot be decoded,
--- a/internal/target/balancer/balancer.go
+++ b/internal/target/balancer/balancer.go
@@ -128,6 +128,26 @@
 	return b.start(best, bestCost, now), nil
 }
 
+// RetryAfter returns the time after which the first instance of a service takes requests
+// from this VM again, if every serving instance has asked for a pause. Otherwise it
+// returns 0.
+func (b *Balancer) RetryAfter(service string) time.Duration {
+	now := time.Now()
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	soonest := time.Duration(0)
+	for _, i := range b.config.Directory.Serving(service) {
+		rec := b.record(i)
+		if !rec.paused(now) {
+			return 0
+		}
+		if wait := rec.pausedUntil.Sub(now); soonest == 0 || wait < soonest {
+			soonest = wait
+		}
+	}
+	return soonest
+}
+
 // pickUnused returns an instance that no VM has used recently if too few of the
 // service's instances are in use. It returns nil if the request should be balanced
 // as usual. Each VM diverts a random share of its requests, chosen so that all VMs
@@ -163,7 +183,7 @@
 		switch {
 		case rec.usedRecently(now):
 			used++
-		case rec.failedRecently(now) || now.Before(rec.absentUntil) || now.Before(rec.unreachableUntil):
+		case rec.paused(now) || rec.failedRecently(now) || now.Before(rec.absentUntil) || now.Before(rec.unreachableUntil):
 		case !rec.cold(now) || b.admitsCold(rec, now):
 			unused = append(unused, rec)
 		}
@@ -197,7 +217,7 @@
 // lowest cost is chosen. It returns false for an instance that must not get the
 // request.
 func (b *Balancer) cost(rec *record, r Request, now time.Time) (float64, bool) {
-	if rec.cold(now) && !b.admitsCold(rec, now) {
+	if rec.paused(now) || rec.cold(now) && !b.admitsCold(rec, now) {
 		return 0, false
 	}
 	cost := loadCost(rec.inFlight(now), rec.instance.Slots())
--- a/internal/target/balancer/balancer_test.go
+++ b/internal/target/balancer/balancer_test.go
@@ -514,6 +514,41 @@
 	})
 }
 
+// TestPause guards against requests to an instance that refused one with a Retry-After:
+// from the VM that it told, until the time is over, also by way of the requests that
+// bring unused instances into use, and while all other instances are gray.
+func TestPause(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		const pause = 6 * time.Second
+		f := newFleet(2, 3)
+		f.vms[0] = balancer.New(balancer.Config{Directory: &f.directory, Zone: "north", RecentTraffic: func(string) (float64, float64) { return 40, 0.3 }})
+		paused := f.choose(t, 0)
+		paused.Done(evidence.Outcome{Kind: evidence.Refused, Status: 503, RetryAfter: pause})
+		is.Equal(f.vms[0].RetryAfter("orders"), time.Duration(0)) // two others take requests
+		seen := make(map[string]bool)
+		for start := time.Now(); time.Since(start) < pause-time.Second; time.Sleep(50 * time.Millisecond) {
+			c := f.choose(t, 0)
+			is.True(c.Instance().ID() != paused.Instance().ID())
+			c.Done(bad)
+			f.exchangeReports()
+			other := f.choose(t, 1)
+			seen[other.Instance().ID()] = true
+			other.Done(good)
+		}
+		is.True(seen[paused.Instance().ID()]) // the other VM was not asked to wait
+		for range 2 {
+			f.choose(t, 0).Done(evidence.Outcome{Kind: evidence.Refused, Status: 503, RetryAfter: pause})
+		}
+		_, err := f.vms[0].Choose(balancer.Request{Service: "orders"})
+		is.True(errors.Is(err, balancer.ErrNoInstance))
+		wait := f.vms[0].RetryAfter("orders")
+		is.True(wait > 0 && wait <= time.Second) // the first one returns
+		time.Sleep(wait)
+		is.Equal(f.choose(t, 0).Instance().ID(), paused.Instance().ID())
+	})
+}
+
 // TestForgetVM guards against counting the requests of a VM that left the fleet as still
 // in progress.
 func TestForgetVM(t *testing.T) {
--- a/internal/target/balancer/record.go
+++ b/internal/target/balancer/record.go
@@ -116,6 +116,9 @@
 	unreachableUntil time.Time
 	absentUntil      time.Time
 	fullUntil        time.Time
+	// pausedUntil is when this VM may send requests again after the instance refused
+	// one with a Retry-After. The instance asked only this VM.
+	pausedUntil time.Time
 	// unreachedBy holds when each VM last failed to reach the instance, since the
 	// last success of any VM.
 	unreachedBy    map[string]time.Time
@@ -181,6 +184,9 @@
 	r.peerInFlight[vm] = inFlightReport{at: now, requests: requests}
 }
 
+// paused reports whether the instance has asked this VM not to send requests now.
+func (r *record) paused(now time.Time) bool { return now.Before(r.pausedUntil) }
+
 func (r *record) cold(now time.Time) bool { return now.Before(r.instance.ColdUntil()) }
 
 // usedRecently reports whether any VM sent the instance a request within usedTime.
@@ -226,6 +232,9 @@
 // observeOwn records the outcome of a request of this VM, and returns whether it
 // should be reported to the other VMs at once.
 func (r *record) observeOwn(o evidence.Outcome, now time.Time) bool {
+	if until := now.Add(o.RetryAfter); until.After(r.pausedUntil) {
+		r.pausedUntil = until
+	}
 	switch verdictOf(o) {
 	case succeeded:
 		r.counts.Succeeded++
--- a/internal/target/directory/directory.go
+++ b/internal/target/directory/directory.go
@@ -1,6 +1,7 @@
 // Package directory lists the target instances that may get requests: those that
 // registered themselves, except those that are leaving or are in an availability
-// zone that was taken out of service.
+// zone that was taken out of service. An instance is leaving if its registration says
+// so, or if it said so in a response (MarkLeaving).
 //
 // # Usage
 //
@@ -79,10 +80,22 @@
 // Directory holds the instances. The zero value is empty. It is safe for
 // concurrent use.
 type Directory struct {
-	mu        sync.RWMutex
-	instances map[string]*Instance
-	zonesOut  map[string]bool
-	serving   map[string][]*Instance // by service, ordered by ID
+	mu         sync.RWMutex
+	instances  map[string]*Instance
+	zonesOut   map[string]bool
+	departures map[run]time.Time      // when each departure became known
+	serving    map[string][]*Instance // by service, ordered by ID
+}
+
+// departureMemory is how long a departure is remembered. An instance that leaves ends
+// within seconds, but its registration may outlive it.
+const departureMemory = 10 * time.Minute
+
+// run identifies one run of an instance. A departure holds for one run, whatever the
+// instance's registration says.
+type run struct {
+	id      string
+	started int64 // as Registration.Started
 }
 
 // Put adds an instance or replaces the one with the same ID. It reports whether the
@@ -111,10 +124,53 @@
 		return false
 	}
 	delete(d.instances, id)
+	if removed.Started() == 0 {
+		// The next registration under this ID cannot be told from a new start.
+		delete(d.departures, run{id: id})
+	}
 	d.index(removed.Service())
 	return true
 }
 
+// MarkLeaving records that the run of an instance that began at started is leaving. It
+// gets no new requests from then on, even if it registers again. A later start of the
+// instance under the same ID gets requests. It reports whether that was not yet known.
+func (d *Directory) MarkLeaving(id string, started int64) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	now := time.Now()
+	departing := run{id: id, started: started}
+	if _, known := d.departures[departing]; known {
+		return false
+	}
+	d.forgetDepartures(now)
+	if d.departures == nil {
+		d.departures = make(map[run]time.Time)
+	}
+	d.departures[departing] = now
+	if i := d.instances[id]; i != nil {
+		d.index(i.Service())
+	}
+	return true
+}
+
+// departed reports whether this run of an instance said that it is leaving. The caller
+// holds the lock.
+func (d *Directory) departed(i *Instance) bool {
+	_, known := d.departures[run{id: i.ID(), started: i.Started()}]
+	return known
+}
+
+// forgetDepartures drops the departures older than departureMemory, except those of
+// listed instances. The caller holds the lock.
+func (d *Directory) forgetDepartures(now time.Time) {
+	for r, at := range d.departures {
+		if d.instances[r.id] == nil && now.Sub(at) > departureMemory {
+			delete(d.departures, r)
+		}
+	}
+}
+
 // SetZoneOut takes an availability zone out of service or puts it back into service,
 // and reports whether that is a change.
 func (d *Directory) SetZoneOut(zone string, out bool) bool {
@@ -141,7 +197,7 @@
 	}
 	var list []*Instance
 	for _, i := range d.instances {
-		if i.Service() == service && !i.Leaving() && !d.zonesOut[i.Zone()] {
+		if i.Service() == service && !i.Leaving() && !d.departed(i) && !d.zonesOut[i.Zone()] {
 			list = append(list, i)
 		}
 	}
--- a/internal/target/evidence/outcome.go
+++ b/internal/target/evidence/outcome.go
@@ -40,4 +40,7 @@
 	// of the response, so that a slow caller does not lengthen it. 0 means not
 	// measured.
 	FirstByte time.Duration `json:"first_byte_ns,omitempty"`
+	// RetryAfter is how long the target asked not to get further requests when it
+	// refused this one. 0 means that it did not ask.
+	RetryAfter time.Duration `json:"retry_after_ns,omitempty"`
 }
--- a/internal/traffic/ingress/exchange.go
+++ b/internal/traffic/ingress/exchange.go
@@ -25,6 +25,8 @@
 	// response starts. A longer body is written concurrently with reading, since an
 	// instance may respond before it has read the whole body.
 	maxInlineBodyBytes = 16 << 10
+	// maxDeadline bounds a caller's deadline.
+	maxDeadline = 24 * time.Hour
 	// minRemaining is the time that must remain until the deadline for a first attempt or
 	// a retry to start.
 	minRemaining = 2 * time.Millisecond
@@ -167,6 +169,7 @@
 		if err != nil || ms <= 0 {
 			return &failure{status: http.StatusBadRequest, reason: malformedDeadline}
 		}
+		ms = min(ms, maxDeadline.Milliseconds())
 		if d := time.Duration(ms) * time.Millisecond; limit == 0 || d < limit {
 			limit = d
 		}
--- a/internal/traffic/ingress/fake_test.go
+++ b/internal/traffic/ingress/fake_test.go
@@ -20,6 +20,7 @@
 	"chestnutbay.dev/chestnutbay/internal/contract/routing"
 	"chestnutbay.dev/chestnutbay/internal/limit/quota"
 	"chestnutbay.dev/chestnutbay/internal/target/balancer"
+	"chestnutbay.dev/chestnutbay/internal/target/departure"
 	"chestnutbay.dev/chestnutbay/internal/target/directory"
 	"chestnutbay.dev/chestnutbay/internal/traffic/ingress"
 	"chestnutbay.dev/chestnutbay/internal/traffic/retry"
@@ -38,7 +39,7 @@
 
 var headers = ingress.Headers{
 	RequestID: "X-Request", Deadline: "X-Deadline", Signature: "X-Signature",
-	Account: "X-Account", Instance: "X-Instance", NotRun: "X-Not-Run",
+	Account: "X-Account", Instance: "X-Instance", NotRun: "X-Not-Run", Leaving: "X-Leaving",
 }
 
 // scriptedResponse is what a target does with one request: it writes raw, and then
@@ -216,6 +217,7 @@
 	b.server = ingress.New(ingress.Config{
 		Table: b.currentTable, Balancer: balancer.New(balancer.Config{Directory: &d, Zone: "north"}),
 		Quota: quota.New(quota.Config{}), RetryBudget: retry.NewFleetBudget(retry.FleetConfig{Ratio: 0.2, Slack: 64, FirstStart: true}), Headers: headers,
+		Left: departure.New(departure.Config{Directory: &d}).Record,
 	})
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	is.New(t).NoErr(err)
@@ -237,6 +239,12 @@
 	err    error // the connection failed, or the response was cut off
 }
 
+// sendAs sends one request with a request ID on a new connection.
+func (b *testServer) sendAs(id, method, path, body string) callerResponse {
+	b.t.Helper()
+	return b.send(method, path, body, func(h http.Header) { h.Set("X-Request", id) })
+}
+
 // send sends one request on a new connection. editHeader may change its headers.
 func (b *testServer) send(method, path, body string, editHeader func(http.Header)) callerResponse {
 	b.t.Helper()
--- a/internal/traffic/ingress/forward.go
+++ b/internal/traffic/ingress/forward.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"net/http"
 	"time"
 
@@ -10,6 +11,7 @@
 
 	"chestnutbay.dev/chestnutbay/internal/target/balancer"
 	"chestnutbay.dev/chestnutbay/internal/target/evidence"
+	"chestnutbay.dev/chestnutbay/internal/traffic/message"
 	"chestnutbay.dev/chestnutbay/internal/traffic/transport"
 )
 
@@ -159,9 +161,11 @@
 	a.upstream = x.server.transport.Send(ctx, instance.Address(), x.buildRequest(instance.ID()), transport.Options{
 		MaxIdle:   x.maxIdle(),
 		Retryable: x.route.Idempotent() && x.replayable(),
+		Stray:     x.isStray,
 		Interrupt: x.body.Interrupt,
 	})
 	if a.upstream.Err() == nil {
+		x.noteLeaving(a)
 		x.checkResponse(a)
 	}
 	a.took = time.Since(began)
@@ -169,13 +173,25 @@
 	return a
 }
 
+// leavingValue is the value of the Leaving header of an instance that is leaving.
+const leavingValue = "1"
+
+// noteLeaving reports the instance if its response says that it is leaving. A response
+// with status 421 comes from another instance.
+func (x *exchange) noteLeaving(a *attempt) {
+	leaving := a.upstream.Header(x.server.config.Headers.Leaving) == leavingValue
+	if leaving && a.upstream.Status() != http.StatusMisdirectedRequest && x.server.config.Left != nil {
+		x.server.config.Left(a.choice.Instance())
+	}
+}
+
 // checkResponse rejects a response to another request, and marks the attempt as refused
 // if the response shows that the request did not run. Otherwise it rejects a successful
 // response without a signature and any response with a Content-Encoding, which was
 // encoded on the way, and reads the body of all others.
 func (x *exchange) checkResponse(a *attempt) {
 	names := &x.server.config.Headers
-	if id := a.upstream.Header(names.RequestID); id != "" && id != x.id {
+	if x.isStray(a.upstream.Response()) { //nolint:bodyclose // The attempt ends with its body.
 		a.upstream.Reject(errWrongRequest)
 		return
 	}
@@ -184,9 +200,15 @@
 		a.upstream.Discard()
 		return
 	}
-	if a.upstream.Status() < http.StatusMultipleChoices && a.upstream.Header(names.Signature) == "" {
-		a.upstream.Reject(errUnsigned)
-		return
+	if a.upstream.Status() < http.StatusMultipleChoices {
+		if a.upstream.Header(names.Signature) == "" {
+			a.upstream.Reject(errUnsigned)
+			return
+		}
+		if a.upstream.Header(names.RequestID) != x.id {
+			a.upstream.Reject(errWrongRequest)
+			return
+		}
 	}
 	if a.upstream.Header("Content-Encoding") != "" {
 		a.upstream.Reject(errEncoded)
@@ -195,9 +217,18 @@
 	a.response = readResponse(a.upstream)
 }
 
+// isStray reports whether a response names another request.
+func (x *exchange) isStray(r *http.Response) bool {
+	id := r.Header.Get(x.server.config.Headers.RequestID)
+	return id != "" && id != x.id
+}
+
 // outcome returns what is reported to the balancer about an attempt.
 func (x *exchange) outcome(ctx context.Context, a *attempt) evidence.Outcome {
 	o := evidence.Outcome{Kind: a.upstream.Kind(), Status: a.upstream.Status(), FirstByte: a.upstream.FirstByte()}
+	if o.Status == http.StatusServiceUnavailable && (a.refused || a.response != nil) {
+		o.RetryAfter = message.RetryAfter(a.upstream.Response().Header, time.Now()) //nolint:bodyclose // The attempt ends with its body.
+	}
 	switch {
 	case a.refused:
 		o.Kind = evidence.Refused
@@ -240,7 +271,7 @@
 		x.refuse(&failure{status: http.StatusServiceUnavailable, reason: deadlineTooClose})
 	case !mayHaveRun:
 		x.refund()
-		x.refuse(&failure{status: http.StatusServiceUnavailable, reason: cause, retryAfter: busyRetryAfter})
+		x.refuse(&failure{status: http.StatusServiceUnavailable, reason: cause, retryAfter: x.retryAfter()})
 	case cause == timedOut || time.Now().After(x.deadline):
 		x.refuse(&failure{status: http.StatusGatewayTimeout, reason: timedOut})
 	default:
@@ -248,6 +279,17 @@
 	}
 }
 
+// retryAfter returns the Retry-After of a request that no instance could take. If all
+// instances have asked for a pause, it follows the first one that ends, with a random
+// part so that the callers do not return all at once.
+func (x *exchange) retryAfter() time.Duration {
+	pause := x.server.config.Balancer.RetryAfter(x.service)
+	if pause == 0 {
+		return busyRetryAfter
+	}
+	return pause + rand.N(busyRetryAfter+pause/2)
+}
+
 // statusCallerDisconnected is logged and counted for requests whose caller disconnected
 // before the response. It is never sent.
 const statusCallerDisconnected = 499
--- a/internal/traffic/ingress/ingress.go
+++ b/internal/traffic/ingress/ingress.go
@@ -29,6 +29,7 @@
 	"chestnutbay.dev/chestnutbay/internal/contract/routing"
 	"chestnutbay.dev/chestnutbay/internal/limit/quota"
 	"chestnutbay.dev/chestnutbay/internal/target/balancer"
+	"chestnutbay.dev/chestnutbay/internal/target/directory"
 	"chestnutbay.dev/chestnutbay/internal/traffic/message"
 	"chestnutbay.dev/chestnutbay/internal/traffic/retry"
 	"chestnutbay.dev/chestnutbay/internal/traffic/transport"
@@ -50,6 +51,8 @@
 	Instance string
 	// NotRun is set on a target's response when the request did not run.
 	NotRun string
+	// Leaving is "1" on the responses of an instance that is leaving.
+	Leaving string
 }
 
 // Config holds the settings and dependencies of a Server. VMs, Metrics and Logger are
@@ -61,6 +64,9 @@
 	Quota       *quota.Quota
 	RetryBudget *retry.FleetBudget
 	Headers     Headers
+	// Left is called with each instance whose response said that it is leaving. It may
+	// be nil.
+	Left func(i *directory.Instance)
 	// VMs returns the number of VMs that share an instance's connection limit. The
 	// default is 1.
 	VMs     func() int
--- a/internal/traffic/ingress/ingress_test.go
+++ b/internal/traffic/ingress/ingress_test.go
@@ -66,7 +66,8 @@
 		{name: "no key", path: "/order/", editHeader: func(h http.Header) { h.Del("Authorization") }, want: 401},
 		{name: "unknown key", path: "/order/", editHeader: func(h http.Header) { h.Set("Authorization", "Bearer x") }, want: 401},
 		{name: "another scheme", path: "/order/", editHeader: func(h http.Header) { h.Set("Authorization", "Basic "+key) }, want: 401},
-		{name: "two keys", path: "/order/", editHeader: func(h http.Header) { h.Add("Authorization", "Bearer "+key) }, want: 401},
+		{name: "two keys", path: "/order/", editHeader: func(h http.Header) { h.Add("Authorization", "Bearer "+key) }, want: 400},
+		{name: "two keys on a public route", path: "/open/", editHeader: func(h http.Header) { h.Add("Authorization", "Bearer "+key) }, want: 400},
 		{name: "a malformed deadline", path: "/order/", editHeader: func(h http.Header) { h.Set("X-Deadline", "soon") }, want: 400},
 		{name: "a public route without a key", path: "/open/", editHeader: func(h http.Header) { h.Del("Authorization") }, want: 200},
 	}
--- a/internal/traffic/message/header.go
+++ b/internal/traffic/message/header.go
@@ -3,10 +3,13 @@
 import (
 	"crypto/rand"
 	"encoding/hex"
+	"errors"
 	"net/http"
 	"net/textproto"
 	"slices"
+	"strconv"
 	"strings"
+	"time"
 )
 
 const (
@@ -102,3 +105,30 @@
 	}
 	return textproto.TrimString(token), true
 }
+
+// MaxRetryAfter is the longest time that RetryAfter returns. A sender that asks for more
+// is asked again after that time.
+const MaxRetryAfter = 2 * time.Minute
+
+// RetryAfter returns how long the sender of a response asks not to get further requests.
+// Retry-After holds seconds, which may have a fraction, or a date, which counts from the
+// response's Date. RetryAfter returns 0 without the header, for a value that cannot be
+// parsed, and for one that is not in the future; more than MaxRetryAfter is cut to it.
+func RetryAfter(h http.Header, now time.Time) time.Duration {
+	v := textproto.TrimString(h.Get("Retry-After"))
+	if v == "" {
+		return 0
+	}
+	if at, err := http.ParseTime(v); err == nil {
+		if date, err := http.ParseTime(h.Get("Date")); err == nil {
+			now = date
+		}
+		return min(max(at.Sub(now), 0), MaxRetryAfter)
+	}
+	// An error of ErrRange comes with an infinite value.
+	seconds, err := strconv.ParseFloat(v, 64)
+	if err != nil && !errors.Is(err, strconv.ErrRange) || !(seconds > 0) {
+		return 0
+	}
+	return time.Duration(min(seconds, MaxRetryAfter.Seconds()) * float64(time.Second))
+}
--- a/internal/traffic/transport/attempt.go
+++ b/internal/traffic/transport/attempt.go
@@ -32,6 +32,7 @@
 	errStatusBelow100       = merry.Sentinel("transport: the response's status is below 100")
 	errTooManyInformational = merry.Sentinel("transport: the target sent too many 1xx responses")
 	errEnded                = merry.Sentinel("transport: the attempt has ended")
+	errStray                = merry.Sentinel("transport: the response belongs to another request")
 )
 
 // lastWriteTimeout is how long to wait, once the target has responded, until the
@@ -39,6 +40,13 @@
 // counts as not fully written, and the connection is not reused.
 const lastWriteTimeout = 10 * time.Millisecond
 
+const (
+	// maxStray bounds the responses to earlier requests that are dropped.
+	maxStray = 2
+	// maxStrayBytes bounds the body of each of them.
+	maxStrayBytes = 1 << 20
+)
+
 // maxInformational bounds the number of 1xx responses to one request.
 const maxInformational = 16
 
@@ -48,8 +56,10 @@
 	ctx       context.Context
 	conn      *conn
 	options   Options
+	method    string
 
 	written   atomic.Bool
+	stray     int // responses to earlier requests that were dropped
 	response  *http.Response
 	body      *responseBody
 	err       error
@@ -67,7 +77,7 @@
 // body from MemoryBody is written before the response is read; any other body is
 // streamed by a goroutine of its own.
 func (t *Transport) Send(ctx context.Context, address string, r *http.Request, o Options) *Attempt {
-	a := &Attempt{transport: t, ctx: ctx, options: o}
+	a := &Attempt{transport: t, ctx: ctx, options: o, method: r.Method}
 	c, err := t.connect(ctx, address, o.Retryable)
 	if err != nil {
 		a.fail(err, evidence.ConnectFailed)
@@ -128,6 +138,13 @@
 			a.fail(err, evidence.Malformed)
 			return
 		}
+		if resp.StatusCode >= http.StatusOK && a.options.Stray != nil && a.options.Stray(resp) {
+			if err := a.dropStray(r, resp); err != nil {
+				a.fail(err, evidence.Malformed)
+				return
+			}
+			continue
+		}
 		if resp.StatusCode >= http.StatusOK {
 			a.acceptResponse(resp)
 			return
@@ -148,6 +165,25 @@
 	a.fail(errTooManyInformational, evidence.Malformed)
 }
 
+// dropStray reads a response to an earlier request to its end. It returns an error if
+// the end cannot be known for certain: only on a connection that has carried a request,
+// if neither that request nor this one is a HEAD, whose response has no body, and if the
+// response does not end with the connection.
+func (a *Attempt) dropStray(r *http.Request, resp *http.Response) error {
+	a.stray++
+	previous := a.conn.previousMethod
+	if previous == "" || previous == http.MethodHead || r.Method == http.MethodHead || resp.Close || a.stray > maxStray {
+		return errStray
+	}
+	a.conn.headRemaining = -1
+	n, err := io.CopyN(io.Discard, resp.Body, maxStrayBytes+1)
+	if !errors.Is(err, io.EOF) || n > maxStrayBytes {
+		return errStray
+	}
+	a.conn.headRemaining = MaxHeadBytes
+	return nil
+}
+
 // measureFirstByte records the time from the end of the request to the first byte of the
 // response. It records nothing for a response that began before the request was fully
 // written.
@@ -178,13 +214,14 @@
 func (a *Attempt) finish() {
 	a.endOnce.Do(func() {
 		a.conn.headRemaining = 0
-		reusable := a.upload.fullyWritten() && !a.response.Close && a.conn.reader.Buffered() == 0
+		reusable := a.upload.fullyWritten() && !a.response.Close && a.stray == 0 && a.conn.reader.Buffered() == 0
 		if !a.stopCloseOnDone() || !reusable {
 			a.terminate()
 			return
 		}
 		a.conn.SetDeadline(time.Time{}) //nolint:errcheck // A connection that fails here fails at its next use.
 		c := a.conn
+		c.previousMethod = a.method
 		a.conn = nil // The next attempt may own it from here on.
 		a.transport.putIdle(c, a.options.MaxIdle)
 	})
--- a/internal/traffic/transport/conn.go
+++ b/internal/traffic/transport/conn.go
@@ -33,8 +33,10 @@
 
 	written       *atomic.Bool // set when a byte of the current attempt's request was written
 	headRemaining int          // bytes by which the head may still grow, or -1 while a body is read
-	idleSince     time.Time
-	idleTimer     *time.Timer
+	// previousMethod is the method of the last request on the connection, "" before it.
+	previousMethod string
+	idleSince      time.Time
+	idleTimer      *time.Timer
 }
 
 func newConn(netConn net.Conn, address string, stallTimeout time.Duration) *conn {
--- a/internal/traffic/transport/transport.go
+++ b/internal/traffic/transport/transport.go
@@ -21,9 +21,9 @@
 // An attempt ends when its response's body has been read to the end, when it fails, when
 // its context is done, or with Close. Its connection is reused only if the request was
 // written completely, the response was read completely, no byte followed it and nothing
-// was cancelled. Surplus bytes that arrive after the next request has been written
-// cannot be distinguished from the response to that request; HTTP/1.1 has no means for
-// it.
+// was cancelled. A surplus response that arrives after the next request has been written
+// can be told from the response to that request only by an ID that the target repeats;
+// see Options.Stray.
 package transport
 
 import (
@@ -96,6 +96,10 @@
 	// Informational receives the target's 1xx responses other than 100 and 101. It is
 	// called by the goroutine that calls Send.
 	Informational func(status int, h http.Header)
+	// Stray reports whether a response belongs to an earlier request. Such a response, a
+	// late second copy, is dropped, and the response after it is read. If it is nil, the
+	// first response counts.
+	Stray func(r *http.Response) bool
 	// Interrupt must make a Read of the request's body that is in progress return
 	// ErrInterrupted. It is called at most once, when the attempt ends while the body
 	// may still be read.
