gossip: a VM that the store refuses gets the list of VMs from a seed

It now asks the seeds for the members, and while it knows neither the list nor any other VM it uses a fiftieth of each rate, without an end.

TestStranger asserted a heard share of 1.0 for such a VM after 3 s, with the comment that it had received datagrams from all members; it had received none. The case is replaced by a stricter one (a minute alone, then the list), and TestKnownStranger is added for the VM that the others know.

--- a/internal/fleet/entry/control.go
+++ b/internal/fleet/entry/control.go
@@ -22,6 +22,9 @@
 const (
 	// stateMethod is the call that returns a VM's copy of a topic.
 	stateMethod = "feed.state"
+	// membersMethod is the call that returns the members that a VM knows, itself
+	// included.
+	membersMethod = "gossip.members"
 	// controlTimeout bounds the life of a connection accepted from another VM, the calls
 	// to the store for the list of VMs, and the time to receive the headers of a
 	// readiness or metrics request.
@@ -91,11 +94,19 @@
 
 // handleCall handles a call of another VM and returns its result.
 func (v *VM) handleCall(r *jsonrpc2.Request) (any, error) {
-	if r.Method != stateMethod || r.Params == nil {
-		return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeMethodNotFound, Message: "unknown method " + r.Method}
+	switch r.Method {
+	case stateMethod:
+		return v.handleState(r.Params)
+	case membersMethod:
+		return v.handleMembers()
 	}
+	return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeMethodNotFound, Message: "unknown method " + cut(r.Method)}
+}
+
+// handleState returns this VM's copy of a topic.
+func (v *VM) handleState(params *json.RawMessage) (any, error) {
 	var p stateParams
-	if err := json.Unmarshal(*r.Params, &p); err != nil || p.Topic < feed.Configuration || p.Topic > feed.Instances {
+	if params == nil || json.Unmarshal(*params, &p) != nil || p.Topic < feed.Configuration || p.Topic > feed.Instances {
 		return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeInvalidParams, Message: "malformed parameters"}
 	}
 	s, ok := v.feed.Since(p.Topic, p.From)
@@ -105,6 +116,14 @@
 	return s, nil
 }
 
+// handleMembers returns the members that this VM knows, if it has read the list of VMs.
+func (v *VM) handleMembers() (any, error) {
+	if !v.gossip.Listed() {
+		return nil, errNotLoaded
+	}
+	return v.gossip.Members(), nil
+}
+
 // State asks up to maxPeersAsked other VMs in turn and returns the first state that
 // covers the topic up to q.MinNext. It implements feed.Peers.
 func (v *VM) State(ctx context.Context, q feed.Query) (feed.State, error) {
@@ -152,17 +171,22 @@
 
 // askState gets the state of a topic from the VM at an address.
 func askState(ctx context.Context, address netip.AddrPort, p stateParams) (feed.State, error) {
+	var s feed.State
+	err := callVM(ctx, address, stateMethod, p, &s)
+	return s, err
+}
+
+// callVM calls a method of the VM at an address.
+func callVM(ctx context.Context, address netip.AddrPort, method string, params, result any) error {
 	ctx, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
 	conn, err := new(net.Dialer).DialContext(ctx, "tcp", address.String())
 	if err != nil {
-		return feed.State{}, err
+		return err
 	}
 	rpc := jsonrpc2.NewConn(ctx, jsonrpc2.NewPlainObjectStream(conn), ignoreCalls{})
 	defer rpc.Close()
-	var s feed.State
-	err = rpc.Call(ctx, stateMethod, p, &s)
-	return s, err
+	return rpc.Call(ctx, method, params, result)
 }
 
 // ignoreCalls ignores calls on a connection that this VM opened.
@@ -179,6 +203,7 @@
 		wait := registerPeriod
 		if err := v.checkRegistered(ctx, registered); err != nil {
 			v.config.Logger.Warn("VM could not be registered or the list of VMs could not be read", zap.Error(err))
+			v.askMembers(ctx)
 			wait = registerRetry
 		} else {
 			registered = true
@@ -192,6 +217,29 @@
 	}
 }
 
+// askMembers gets the members from a seed if this VM could not read the list of VMs from
+// the store since its start. Without a list the VM would know neither the fleet's size nor
+// whom to report to, and the others would not know of it.
+func (v *VM) askMembers(ctx context.Context) {
+	if v.gossip.Listed() {
+		return
+	}
+	for _, seed := range v.config.Seeds {
+		if seed == v.config.FleetAddress {
+			continue
+		}
+		var list []gossip.Member
+		if err := callVM(ctx, seed, membersMethod, nil, &list); err != nil {
+			v.config.Logger.Debug("a seed did not return the members", zap.Stringer("address", seed), zap.Error(err))
+			continue
+		}
+		v.gossip.AddMembers(list)
+		v.gossip.RequestSend(true) // the others learn of this VM
+		v.config.Logger.Info("list of VMs taken from a seed", zap.Stringer("address", seed), zap.Int("listed", len(list)))
+		return
+	}
+}
+
 // checkRegistered registers this VM, reads the list of VMs and adds the listed VMs to
 // the members. The VM registers before it reads, so that of two VMs that start at the
 // same time at least one finds the other in the list. A VM that has registered before
--- a/internal/fleet/gossip/gossip_test.go
+++ b/internal/fleet/gossip/gossip_test.go
@@ -314,10 +314,30 @@
 		time.Sleep(5 * time.Second)
 		stranger := f.startUnlisted(5, "zone-0", 6)
 		is.True(stranger.gossip.Heard() < 1.0/6)
-		time.Sleep(time.Second)
-		is.True(stranger.gossip.Heard() < 1.0/6)
-		time.Sleep(2 * time.Second)
+		time.Sleep(time.Minute)
+		is.True(stranger.gossip.Heard() < 1.0/6) // nobody knows of it, so it receives nothing
+		is.True(!stranger.gossip.Listed())
+		stranger.gossip.AddMembers(f.vms[0].gossip.Members()) // as a seed returns them
+		time.Sleep(3 * time.Second)
 		is.Equal(stranger.gossip.Heard(), 1.0) // by now it has received datagrams from all members
+		is.Equal(f.vms[1].gossip.Size(), 6)    // and the others know of it
+	})
+}
+
+// TestKnownStranger guards against a VM that uses a sliver of each rate for as long as it
+// cannot read the list of VMs, although the others know it and it receives their datagrams.
+func TestKnownStranger(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFleet(1, 5)
+		defer f.stop()
+		time.Sleep(5 * time.Second)
+		stranger := f.startUnlisted(5, "zone-0", 6)
+		for _, v := range f.vms[:5] {
+			v.gossip.AddMembers([]gossip.Member{stranger.member})
+		}
+		time.Sleep(3 * time.Second)
+		is.Equal(stranger.gossip.Heard(), 1.0)
 	})
 }
 
--- a/internal/fleet/gossip/presence.go
+++ b/internal/fleet/gossip/presence.go
@@ -7,11 +7,9 @@
 	"time"
 )
 
-// unknownFleetRatio is the part of the fleet that a VM reports as heard for the first
-// presenceTimeout after its start if it could not read the list of VMs. It does not
-// know the fleet's size then, and the other VMs have not had the time to be heard. If
-// it counted itself as the whole fleet, it would admit the whole rate of each client
-// account.
+// unknownFleetRatio is the part of the fleet that a VM reports as heard while it knows
+// neither the list of VMs nor any other VM. If it counted itself as the whole fleet, it
+// would admit the whole rate of each client account.
 const unknownFleetRatio = 0.02
 
 // Heard returns the part of the members that are present, from 0 to 1, this VM included.
@@ -19,7 +17,7 @@
 	now := time.Now()
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if !g.listed && now.Sub(g.start) < presenceTimeout {
+	if !g.listed && (len(g.members) == 0 || now.Sub(g.start) < presenceTimeout) {
 		return unknownFleetRatio
 	}
 	heard := 1
@@ -31,6 +29,24 @@
 	return float64(heard) / float64(len(g.members)+1)
 }
 
+// Listed reports whether this VM has received the list of VMs since its start.
+func (g *Gossip) Listed() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.listed
+}
+
+// Members returns all members, this VM included, in no particular order.
+func (g *Gossip) Members() []Member {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	list := []Member{g.config.Self}
+	for _, p := range g.members {
+		list = append(list, p.member)
+	}
+	return list
+}
+
 // present reports whether the VM was heard within presenceTimeout, or was added within
 // presenceTimeout and may not have been heard yet.
 func (p *peer) present(now time.Time) bool { return now.Sub(p.lastActive()) < presenceTimeout }
