feed: large configurations spread in a tree, compressed

Now the zone's VMs form a tree by rank: two read the store, each passes the record on to six others, which ask at once and wait at their parent, then at its parent. Records are compressed (about a tenth) and packed once. A VM that is asked for what it has not heard of takes that as an announcement. After a refusal the store and other VMs are asked at the same time. Of several versions in one read only the newest is decoded. A state from another VM carries its proof's age, so that its receiver need not read the store as well. An announced offset beyond the store's end no longer keeps a VM reading for ever.

--- a/internal/fleet/entry/control.go
+++ b/internal/fleet/entry/control.go
@@ -2,9 +2,7 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
-	"math/rand/v2"
 	"net"
 	"net/netip"
 	"slices"
@@ -15,13 +13,10 @@
 	"go.uber.org/zap"
 	"golang.org/x/sync/errgroup"
 
-	"chestnutbay.dev/chestnutbay/internal/fleet/feed"
 	"chestnutbay.dev/chestnutbay/internal/fleet/gossip"
 )
 
 const (
-	// stateMethod is the call that returns a VM's copy of a topic.
-	stateMethod = "feed.state"
 	// membersMethod is the call that returns the members that a VM knows, itself
 	// included.
 	membersMethod = "gossip.members"
@@ -29,10 +24,10 @@
 	// to the store for the list of VMs, and the time to receive the headers of a
 	// readiness or metrics request.
 	controlTimeout = 2 * time.Second
-	// askTimeout bounds the time to get the state of one other VM.
+	// dialTimeout bounds the time to connect to another VM.
+	dialTimeout = 150 * time.Millisecond
+	// askTimeout bounds the time to get an answer of one other VM that does not wait.
 	askTimeout = 400 * time.Millisecond
-	// maxPeersAsked is the maximum number of VMs that are asked in turn for one state.
-	maxPeersAsked = 3
 	// maxControlConns bounds the concurrent connections accepted from other VMs.
 	maxControlConns = 64
 	// registerPeriod is the interval at which a VM reads the store's list of VMs and
@@ -42,17 +37,8 @@
 	registerRetry = time.Second
 )
 
-var (
-	errNotLoaded = merry.Sentinel("entry: this VM holds nothing yet")
-	errNoVM      = merry.Sentinel("entry: no other VM answered")
-)
-
-// stateParams are the parameters of a stateMethod call.
-type stateParams struct {
-	Topic feed.Topic `json:"topic"`
-	// From is the offset up to which the asking VM has read the topic.
-	From int64 `json:"from"`
-}
+// errNotLoaded reports a call to a VM that does not know what it is asked for.
+var errNotLoaded = merry.Sentinel("entry: this VM holds nothing yet")
 
 // serveControl accepts connections from other VMs and answers their calls until ctx
 // ends.
@@ -84,7 +70,9 @@
 func (v *VM) serveConn(ctx context.Context, conn net.Conn) {
 	conn.SetDeadline(time.Now().Add(controlTimeout)) //nolint:errcheck // A broken connection fails at its next use.
 	rpc := jsonrpc2.NewConn(ctx, jsonrpc2.NewPlainObjectStream(conn), jsonrpc2.HandlerWithError(
-		func(_ context.Context, _ *jsonrpc2.Conn, r *jsonrpc2.Request) (any, error) { return v.handleCall(r) }))
+		func(ctx context.Context, _ *jsonrpc2.Conn, r *jsonrpc2.Request) (any, error) {
+			return v.handleCall(ctx, r)
+		}))
 	select {
 	case <-rpc.DisconnectNotify():
 	case <-ctx.Done():
@@ -93,29 +81,16 @@
 }
 
 // handleCall handles a call of another VM and returns its result.
-func (v *VM) handleCall(r *jsonrpc2.Request) (any, error) {
+func (v *VM) handleCall(ctx context.Context, r *jsonrpc2.Request) (any, error) {
 	switch r.Method {
 	case stateMethod:
-		return v.handleState(r.Params)
+		return v.handleState(ctx, r.Params)
 	case membersMethod:
 		return v.handleMembers()
 	}
 	return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeMethodNotFound, Message: "unknown method " + cut(r.Method)}
 }
 
-// handleState returns this VM's copy of a topic.
-func (v *VM) handleState(params *json.RawMessage) (any, error) {
-	var p stateParams
-	if params == nil || json.Unmarshal(*params, &p) != nil || p.Topic < feed.Configuration || p.Topic > feed.Instances {
-		return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeInvalidParams, Message: "malformed parameters"}
-	}
-	s, ok := v.feed.Since(p.Topic, p.From)
-	if !ok {
-		return nil, errNotLoaded
-	}
-	return s, nil
-}
-
 // handleMembers returns the members that this VM knows, if it has read the list of VMs.
 func (v *VM) handleMembers() (any, error) {
 	if !v.gossip.Listed() {
@@ -124,63 +99,12 @@
 	return v.gossip.Members(), nil
 }
 
-// State asks up to maxPeersAsked other VMs in turn and returns the first state that
-// covers the topic up to q.MinNext. It implements feed.Peers.
-func (v *VM) State(ctx context.Context, q feed.Query) (feed.State, error) {
-	asked := 0
-	for _, address := range v.peersToAsk(q) {
-		if address == v.config.FleetAddress || asked == maxPeersAsked {
-			continue
-		}
-		asked++
-		s, err := askState(ctx, address, stateParams{Topic: q.Topic, From: q.From})
-		if err == nil && s.Next >= q.MinNext {
-			return s, nil
-		}
-		v.config.Logger.Debug("another VM did not return the needed state", zap.Stringer("address", address), zap.Int64("next", s.Next), zap.Error(err))
-	}
-	return feed.State{}, errNoVM
-}
-
-// peersToAsk returns the addresses of the VMs to ask for a state, in this order: one VM
-// of the own zone, the VM named in the query, the other VMs of the own zone, the VMs of
-// other zones, and the seeds. The VMs of a zone are in random order, so that not all
-// VMs ask the same one. A SameZone query leaves out VMs of other zones and the seeds.
-func (v *VM) peersToAsk(q feed.Query) []netip.AddrPort {
-	present := v.gossip.PresentMembers()
-	rand.Shuffle(len(present), func(i, j int) { present[i], present[j] = present[j], present[i] })
-	var ownZone, named, otherZones []netip.AddrPort
-	for _, m := range present {
-		switch {
-		case m.Zone != v.config.Zone && q.SameZone:
-		case m.Name == q.AnnouncedBy:
-			named = append(named, m.Address)
-		case m.Zone == v.config.Zone:
-			ownZone = append(ownZone, m.Address)
-		default:
-			otherZones = append(otherZones, m.Address)
-		}
-	}
-	head := min(1, len(ownZone))
-	list := slices.Concat(ownZone[:head], named, ownZone[head:], otherZones)
-	if q.SameZone {
-		return list
-	}
-	return append(list, v.config.Seeds...)
-}
-
-// askState gets the state of a topic from the VM at an address.
-func askState(ctx context.Context, address netip.AddrPort, p stateParams) (feed.State, error) {
-	var s feed.State
-	err := callVM(ctx, address, stateMethod, p, &s)
-	return s, err
-}
-
-// callVM calls a method of the VM at an address.
-func callVM(ctx context.Context, address netip.AddrPort, method string, params, result any) error {
-	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+// callVM calls a method of the VM at an address and waits for its answer for up to
+// timeout.
+func callVM(ctx context.Context, address netip.AddrPort, timeout time.Duration, method string, params, result any) error {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	conn, err := new(net.Dialer).DialContext(ctx, "tcp", address.String())
+	conn, err := (&net.Dialer{Timeout: dialTimeout}).DialContext(ctx, "tcp", address.String())
 	if err != nil {
 		return err
 	}
@@ -229,7 +153,7 @@
 			continue
 		}
 		var list []gossip.Member
-		if err := callVM(ctx, seed, membersMethod, nil, &list); err != nil {
+		if err := callVM(ctx, seed, askTimeout, membersMethod, nil, &list); err != nil {
 			v.config.Logger.Debug("a seed did not return the members", zap.Stringer("address", seed), zap.Error(err))
 			continue
 		}
--- a/internal/fleet/entry/entry.go
+++ b/internal/fleet/entry/entry.go
@@ -105,6 +105,7 @@
 	outbox      announcementQueue
 	silentVMs   chan string // silent VMs to remove from the store's list
 	refusals    refusals
+	packed      packedStates
 
 	callersListener, readinessListener, metricsListener, controlListener net.Listener
 }
--- /dev/null
+++ b/internal/fleet/entry/peerstate.go
@@ -0,0 +1,245 @@
+package entry
+
+import (
+	"bytes"
+	"compress/flate"
+	"context"
+	"encoding/json"
+	"io"
+	"math/rand/v2"
+	"net/netip"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+	"github.com/fxamacker/cbor/v2"
+	"github.com/sourcegraph/jsonrpc2"
+	"go.uber.org/zap"
+
+	"chestnutbay.dev/chestnutbay/internal/fleet/feed"
+	"chestnutbay.dev/chestnutbay/internal/fleet/gossip"
+)
+
+const (
+	// stateMethod is the call that returns a VM's copy of a topic.
+	stateMethod = "feed.state"
+	// maxPeersAsked is the maximum number of VMs that are asked in turn for one state.
+	maxPeersAsked = 3
+	// maxStateWait bounds how long a VM lets a call wait until it has read far enough.
+	maxStateWait = 2 * time.Second
+	// packThreshold is the size of the records of a state in bytes from which they are
+	// compressed. A configuration shrinks to about a tenth, and some VMs have links of
+	// 10 Mbit/s.
+	packThreshold = 4 << 10
+	// maxUnpackedBytes bounds the size of a state's records after decompression.
+	maxUnpackedBytes = 64 << 20
+)
+
+var (
+	errNoVM     = merry.Sentinel("entry: no other VM answered")
+	errBehind   = merry.Sentinel("entry: this VM has not read as far")
+	errTooLarge = merry.Sentinel("entry: the state of another VM is too large")
+)
+
+// stateParams are the parameters of a stateMethod call.
+type stateParams struct {
+	Topic feed.Topic `json:"topic"`
+	// From is the offset up to which the asking VM has read the topic.
+	From int64 `json:"from"`
+	// MinNext is the offset up to which the asked VM must have read. It waits for this
+	// for up to Wait, at most maxStateWait. Without a Wait it answers at once.
+	MinNext int64         `json:"min_next,omitempty"`
+	Wait    time.Duration `json:"wait_ns,omitempty"`
+	// Unpacks reports that the asking VM understands State.Packed.
+	Unpacks bool `json:"unpacks,omitempty"`
+}
+
+// stateResult is the result of a stateMethod call.
+type stateResult struct {
+	feed.State
+	// Packed holds the records in place of State.Records: a CBOR list, compressed.
+	Packed []byte `json:"packed,omitempty"`
+}
+
+// packedStates keeps the newest packed state of each topic, since several VMs ask for the
+// same one. The zero value is empty. It is safe for concurrent use.
+type packedStates struct {
+	mu     sync.Mutex
+	states map[feed.Topic]packedState
+}
+
+// packedState is the compressed form of a state's records.
+type packedState struct {
+	from, next int64
+	packed     []byte
+}
+
+// pack returns the packed records of a state that begins at an offset.
+func (c *packedStates) pack(t feed.Topic, from int64, s feed.State) ([]byte, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if known, ok := c.states[t]; ok && known.from == from && known.next == s.Next {
+		return known.packed, nil
+	}
+	packed, err := packRecords(s.Records)
+	if err != nil {
+		return nil, err
+	}
+	if c.states == nil {
+		c.states = make(map[feed.Topic]packedState)
+	}
+	c.states[t] = packedState{from: from, next: s.Next, packed: packed}
+	return packed, nil
+}
+
+// packRecords encodes and compresses records.
+func packRecords(records []feed.Record) ([]byte, error) {
+	raw, err := cbor.Marshal(records)
+	if err != nil {
+		return nil, err
+	}
+	var packed bytes.Buffer
+	w, err := flate.NewWriter(&packed, flate.BestSpeed)
+	if err != nil {
+		return nil, err
+	}
+	if _, err := w.Write(raw); err != nil {
+		return nil, err
+	}
+	err = w.Close()
+	return packed.Bytes(), err
+}
+
+// unpackRecords is the inverse of packRecords.
+func unpackRecords(packed []byte) ([]feed.Record, error) {
+	raw, err := io.ReadAll(io.LimitReader(flate.NewReader(bytes.NewReader(packed)), maxUnpackedBytes+1))
+	if err != nil {
+		return nil, err
+	}
+	if len(raw) > maxUnpackedBytes {
+		return nil, errTooLarge
+	}
+	var records []feed.Record
+	err = cbor.Unmarshal(raw, &records)
+	return records, err
+}
+
+// recordBytes returns the size of the keys and values of records.
+func recordBytes(records []feed.Record) int {
+	n := 0
+	for _, r := range records {
+		n += len(r.Key) + len(r.Value)
+	}
+	return n
+}
+
+// handleState returns this VM's copy of a topic.
+func (v *VM) handleState(ctx context.Context, params *json.RawMessage) (any, error) {
+	var p stateParams
+	if params == nil || json.Unmarshal(*params, &p) != nil || p.Topic < feed.Configuration || p.Topic > feed.Instances {
+		return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeInvalidParams, Message: "malformed parameters"}
+	}
+	if p.Wait > 0 {
+		ctx, cancel := context.WithTimeout(ctx, min(p.Wait, maxStateWait))
+		defer cancel()
+		v.feed.AwaitNext(ctx, p.Topic, p.MinNext)
+	}
+	s, ok := v.feed.Since(p.Topic, p.From)
+	switch {
+	case !ok:
+		return nil, errNotLoaded
+	case s.Next < p.MinNext:
+		return nil, errBehind
+	case !p.Unpacks || recordBytes(s.Records) < packThreshold:
+		return stateResult{State: s}, nil
+	}
+	packed, err := v.packed.pack(p.Topic, p.From, s)
+	if err != nil {
+		return nil, err
+	}
+	s.Records = nil
+	return stateResult{State: s, Packed: packed}, nil
+}
+
+// State asks up to maxPeersAsked other VMs in turn and returns the first state that
+// covers the topic up to q.MinNext. It implements feed.Peers.
+func (v *VM) State(ctx context.Context, q feed.Query) (feed.State, error) {
+	asked := 0
+	for _, address := range v.peersToAsk(q) {
+		if address == v.config.FleetAddress || asked == maxPeersAsked || ctx.Err() != nil {
+			continue
+		}
+		asked++
+		s, err := askState(ctx, address, q)
+		if err == nil && s.Next >= q.MinNext {
+			return s, nil
+		}
+		v.config.Logger.Debug("another VM did not return the needed state", zap.Stringer("address", address), zap.Int64("next", s.Next), zap.Error(err))
+	}
+	return feed.State{}, errNoVM
+}
+
+// peersToAsk returns the addresses of the VMs to ask for a state, in this order.
+func (v *VM) peersToAsk(q feed.Query) []netip.AddrPort {
+	if q.Spread {
+		return v.spreadPeers(q.Topic)
+	}
+	return v.anyPeers(q)
+}
+
+// spreadPeers returns the addresses of the VMs of the own zone from which this VM gets a
+// large record.
+func (v *VM) spreadPeers(t feed.Topic) []netip.AddrPort {
+	order := v.gossip.ZoneOrder(t.String())
+	own := slices.IndexFunc(order, func(m gossip.Member) bool { return m.Name == v.config.Name })
+	var list []netip.AddrPort
+	for _, rank := range feed.Ancestors(own) {
+		list = append(list, order[rank].Address)
+	}
+	return list
+}
+
+// anyPeers returns the addresses of one VM of the own zone, the VM named in the query, the
+// other VMs of the own zone, the VMs of other zones, and the seeds. The VMs of a zone are
+// in random order, so that not all VMs ask the same one.
+func (v *VM) anyPeers(q feed.Query) []netip.AddrPort {
+	present := v.gossip.PresentMembers()
+	rand.Shuffle(len(present), func(i, j int) { present[i], present[j] = present[j], present[i] })
+	var ownZone, named, otherZones []netip.AddrPort
+	for _, m := range present {
+		switch {
+		case m.Name == q.AnnouncedBy:
+			named = append(named, m.Address)
+		case m.Zone == v.config.Zone:
+			ownZone = append(ownZone, m.Address)
+		default:
+			otherZones = append(otherZones, m.Address)
+		}
+	}
+	head := min(1, len(ownZone))
+	return slices.Concat(ownZone[:head], named, ownZone[head:], otherZones, v.config.Seeds)
+}
+
+// askState gets the state of a topic from the VM at an address. If the query spreads a
+// record, that VM may wait until it has it.
+func askState(ctx context.Context, address netip.AddrPort, q feed.Query) (feed.State, error) {
+	p := stateParams{Topic: q.Topic, From: q.From, MinNext: q.MinNext, Unpacks: true}
+	timeout := askTimeout
+	if deadline, ok := ctx.Deadline(); ok && q.Spread {
+		timeout = time.Until(deadline)
+		p.Wait = timeout
+	}
+	var result stateResult
+	if err := callVM(ctx, address, timeout, stateMethod, p, &result); err != nil {
+		return feed.State{}, err
+	}
+	if len(result.Packed) > 0 {
+		records, err := unpackRecords(result.Packed)
+		if err != nil {
+			return feed.State{}, err
+		}
+		result.Records = records
+	}
+	return result.State, nil
+}
--- a/internal/fleet/feed/feed.go
+++ b/internal/fleet/feed/feed.go
@@ -87,9 +87,11 @@
 	MinNext int64
 	// AnnouncedBy names a VM that announced that it has read up to MinNext, or is "".
 	AnnouncedBy string
-	// SameZone excludes VMs of other zones: traffic between zones costs more than a call
-	// to the store.
-	SameZone bool
+	// Spread asks the VMs of the own zone in the order in which a large record spreads
+	// there (see Ancestors), and waits until the asked VM has read up to MinNext. VMs of
+	// other zones are not asked: traffic between zones costs more than a call to the
+	// store.
+	Spread bool
 }
 
 // State is a VM's copy of a topic: the newest record of each key, either from an
@@ -101,6 +103,9 @@
 	// Full reports whether the state covers the entire topic. Keys without a record
 	// then do not exist.
 	Full bool `json:"whole,omitempty"`
+	// Age is the age of the VM's proof that the topic ends at Next. 0 means that there is
+	// no proof.
+	Age time.Duration `json:"age_ns,omitempty"`
 }
 
 // Announcement tells the other VMs how far a VM has read a topic.
@@ -140,9 +145,11 @@
 	fallbackSpread = 150 * time.Millisecond
 	// fallbackStep is the difference in delay between two of them with adjacent ranks.
 	fallbackStep = 10 * time.Millisecond
-	// callTimeout bounds one call to the store or to other VMs. A slow store takes a
-	// few hundred milliseconds.
+	// callTimeout bounds the calls to other VMs for one topic.
 	callTimeout = time.Second
+	// readTimeout bounds one read of the store. A slow store takes a few hundred
+	// milliseconds, and a large configuration as much on a link of 10 Mbit/s.
+	readTimeout = 1500 * time.Millisecond
 	// retryDelay is the pause after a failed read.
 	retryDelay = 250 * time.Millisecond
 	// maxAnnounceBytes bounds the encoded size of the records in one announcement.
@@ -162,16 +169,10 @@
 	tombstoneTTL = 5 * time.Minute
 	// sweepPeriod is the interval between two searches for expired tombstones.
 	sweepPeriod = 30 * time.Second
-	// zoneReaders is the number of VMs in each zone that read a change from the store
-	// if no announcement carries it. The zone's other VMs ask them and each other.
-	zoneReaders = 2
-	// pullDelay is the base delay before the other VMs ask, and pullStep the extra
-	// delay per rank. The steps spread the requests: the number of VMs in the zone that
-	// have the change doubles with each round of requests.
-	pullDelay = 100 * time.Millisecond
-	pullStep  = 12 * time.Millisecond
-	// maxPullDelay bounds this delay, since a configuration must be in force within 2 s.
-	maxPullDelay = 500 * time.Millisecond
+	// spreadTimeout bounds the time in which a VM gets such a change from other VMs of
+	// its zone. It then reads the store, which still ends within the 2 s in which a
+	// configuration must be in force.
+	spreadTimeout = 1100 * time.Millisecond
 	// removalGracePeriod is the grace period for removals after an outage of the store:
 	// instances whose registrations expired during the outage register again within 2 s.
 	removalGracePeriod = 2 * time.Second
@@ -229,10 +230,12 @@
 	loaded         bool                   // the topic was loaded from the store or another VM
 	announcedNext  int64                  // highest offset that another VM announced
 	announcedBy    string                 // the VM that announced it
+	announcedAt    time.Time              // when this VM received that announcement
 	lastReadFailed bool                   // the store did not answer this VM's last read
 	restoredAt     time.Time              // when the first proof after an outage of the store arrived
 	heldRemovals   map[string]heldRemoval // by key
 	history        history
+	advanced       chan struct{} // closed when next rises or the topic is loaded; nil if nobody waits
 
 	tombstones   map[string]time.Time // time at which the removal of each removed key was applied
 	removalsFrom int64                // removals from this offset on are all remembered
@@ -294,6 +297,9 @@
 	defer f.mu.Unlock()
 	state := &f.topics[t]
 	s := State{Next: state.next, Full: from < state.removalsFrom}
+	if !state.verified.IsZero() {
+		s.Age = max(time.Since(state.verified), 1)
+	}
 	for _, r := range state.records {
 		if r.Offset >= from || s.Full && r.Value != nil {
 			s.Records = append(s.Records, r)
@@ -325,7 +331,7 @@
 		return
 	}
 	if a.Next > state.announcedNext {
-		state.announcedNext, state.announcedBy = a.Next, vm
+		state.announcedNext, state.announcedBy, state.announcedAt = a.Next, vm, time.Now()
 	}
 	behind := a.Next > state.next
 	switch {
@@ -348,6 +354,9 @@
 // advances the topic to the offset next. The caller holds the lock.
 func (f *Feed) apply(t Topic, records []Record, next int64) {
 	state := &f.topics[t]
+	if t == Configuration {
+		records = withoutSuperseded(records)
+	}
 	var changes []Record
 	for _, r := range records {
 		previous, known := state.records[r.Key]
@@ -372,6 +381,73 @@
 	next = max(state.next, next)
 	state.history.add(step{from: state.next, next: next, at: time.Now(), changes: changes})
 	state.next = next
+	state.signalAdvance()
+}
+
+// withoutSuperseded returns the records without the values that a later value of their key
+// in the list replaces. A configuration is large, and only the newest one comes into force.
+func withoutSuperseded(records []Record) []Record {
+	last := make(map[string]int, len(records))
+	for i, r := range records {
+		last[r.Key] = i
+	}
+	if len(last) == len(records) {
+		return records
+	}
+	list := make([]Record, 0, len(records))
+	for i, r := range records {
+		if newest := last[r.Key]; newest == i || r.Value == nil || records[newest].Value == nil {
+			list = append(list, r)
+		}
+	}
+	return list
+}
+
+// noteAnnounced makes this VM catch up if it has not read up to an offset.
+func (f *Feed) noteAnnounced(t Topic, next int64) {
+	f.mu.Lock()
+	state := &f.topics[t]
+	unknown := state.loaded && next > max(state.next, state.announcedNext)
+	if unknown {
+		state.announcedNext, state.announcedAt = next, time.Now()
+	}
+	f.mu.Unlock()
+	if unknown {
+		f.wakeFollower(t)
+	}
+}
+
+// signalAdvance wakes the calls of AwaitNext. The caller holds the lock.
+func (state *topicState) signalAdvance() {
+	if state.advanced != nil {
+		close(state.advanced)
+		state.advanced = nil
+	}
+}
+
+// AwaitNext waits until this VM has read a topic up to an offset that another VM knows of,
+// or until ctx ends. The offset counts as announced: this VM may have missed the
+// announcement.
+func (f *Feed) AwaitNext(ctx context.Context, t Topic, next int64) {
+	f.noteAnnounced(t, next)
+	for {
+		f.mu.Lock()
+		state := &f.topics[t]
+		if state.loaded && state.next >= next {
+			f.mu.Unlock()
+			return
+		}
+		if state.advanced == nil {
+			state.advanced = make(chan struct{})
+		}
+		advanced := state.advanced
+		f.mu.Unlock()
+		select {
+		case <-ctx.Done():
+			return
+		case <-advanced:
+		}
+	}
 }
 
 // updateTombstone adds a tombstone for a removed key, and deletes the tombstone of a
--- a/internal/fleet/feed/run.go
+++ b/internal/fleet/feed/run.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -29,13 +30,9 @@
 		if ctx.Err() != nil {
 			return
 		}
-		if f.prefersPeers(ctx, t) && f.askPeers(ctx, t) || f.readStore(ctx, t) {
-			continue
+		if !f.catchUp(ctx, t) {
+			sleep(ctx, retryDelay)
 		}
-		if f.isBehind(t) {
-			f.askPeers(ctx, t)
-		}
-		sleep(ctx, retryDelay)
 	}
 }
 
@@ -86,32 +83,58 @@
 	return !state.loaded || state.announcedNext > state.next
 }
 
-// prefersPeers reports whether to ask another VM before the store. The answer is no
-// unless another VM has read further. It is then yes if this VM's last read from the
-// store failed, or if the topic is Instances, whose missing records are few and small.
-// For the configuration, the zone's first zoneReaders VMs read from the store. On the
-// zone's other VMs, prefersPeers first waits until another VM of the zone may have the
-// configuration, and then returns true.
-func (f *Feed) prefersPeers(ctx context.Context, t Topic) bool {
+// catchUp brings the topic up to date and reports whether that succeeded. A VM that is
+// behind asks the other VMs first if the missing records are few and small, as those of
+// Instances are, or if it is not one of its zone's readers. If its last read of the store
+// failed, it asks the store and the other VMs at the same time.
+func (f *Feed) catchUp(ctx context.Context, t Topic) bool {
 	f.mu.Lock()
 	state := &f.topics[t]
-	behind, storeFailed := state.loaded && state.announcedNext > state.next, state.lastReadFailed
+	behind := !state.loaded || state.announcedNext > state.next
+	loaded, storeFailed := state.loaded, state.lastReadFailed
 	f.mu.Unlock()
-	if !behind || storeFailed || t == Instances || f.config.ZoneRank == nil {
-		return behind && (storeFailed || t == Instances)
+	switch {
+	case !behind:
+		return f.readStore(ctx, t)
+	case storeFailed:
+		return f.askAll(ctx, t)
+	case loaded && (t == Instances || !f.isZoneReader(t)):
+		return f.askPeers(ctx, t) || f.readStore(ctx, t)
+	default:
+		return f.readStore(ctx, t) || f.askPeers(ctx, t)
 	}
-	rank := f.config.ZoneRank(t.String())
-	if rank < zoneReaders {
-		return false
+}
+
+// askAll asks the store and the other VMs at the same time. It reports whether one of them
+// supplied the topic, and then does not wait for the other.
+func (f *Feed) askAll(ctx context.Context, t Topic) bool {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	var group errgroup.Group
+	var supplied atomic.Bool
+	for _, ask := range []func(context.Context, Topic) bool{f.askPeers, f.readStore} {
+		group.Go(func() error {
+			if ask(ctx, t) {
+				supplied.Store(true)
+				cancel()
+			}
+			return nil
+		})
 	}
-	sleep(ctx, min(pullDelay+time.Duration(rank)*pullStep, maxPullDelay))
-	return true
+	group.Wait() //nolint:errcheck // The functions return nil.
+	return supplied.Load()
+}
+
+// isZoneReader reports whether this VM reads a change from the store if no announcement
+// carries it.
+func (f *Feed) isZoneReader(t Topic) bool {
+	return f.config.ZoneRank == nil || f.config.ZoneRank(t.String()) < ZoneReaders
 }
 
 // readStore brings the topic up to date from the store, announces the result and reports
 // whether the store answered.
-func (f *Feed) readStore(ctx context.Context, t Topic) bool {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+func (f *Feed) readStore(parent context.Context, t Topic) bool {
+	ctx, cancel := context.WithTimeout(parent, readTimeout)
 	defer cancel()
 	f.mu.Lock()
 	from, loaded := f.topics[t].next, f.topics[t].loaded
@@ -130,7 +153,9 @@
 		records, next, err = f.config.Source.Newest(ctx, t)
 	}
 	if err != nil {
-		f.readFailed(t, err)
+		if parent.Err() == nil {
+			f.readFailed(t, err)
+		}
 		return false
 	}
 	f.readSucceeded(t, from, records, next, began, fullListing)
@@ -156,8 +181,13 @@
 	} else {
 		f.apply(t, records, next)
 	}
+	if began.After(state.announcedAt) {
+		// The store ends there. A higher offset was announced by mistake.
+		state.announcedNext = min(state.announcedNext, state.next)
+	}
 	firstLoad := !state.loaded
 	state.loaded = true
+	state.signalAdvance()
 	f.applyDueRemovals(t, time.Now())
 	state.sweep(time.Now())
 	a := Announcement{Topic: t, Next: state.next, Complete: !fullListing}
@@ -231,17 +261,22 @@
 	if f.config.Peers == nil {
 		return false
 	}
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
 	f.mu.Lock()
 	state := &f.topics[t]
-	q := Query{Topic: t, From: state.next, MinNext: state.announcedNext, AnnouncedBy: state.announcedBy, SameZone: t == Configuration && state.loaded && !state.lastReadFailed}
+	q := Query{Topic: t, From: state.next, MinNext: state.announcedNext, AnnouncedBy: state.announcedBy, Spread: t == Configuration && state.loaded && !state.lastReadFailed}
 	f.mu.Unlock()
+	timeout := callTimeout
+	if q.Spread {
+		timeout = spreadTimeout
+	}
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
 	s, err := f.config.Peers.State(ctx, q)
 	if err != nil {
 		f.config.Logger.Debug("no other VM supplied the topic", zap.Stringer("topic", t), zap.Error(err))
 		return false
 	}
+	received := time.Now()
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if s.Full {
@@ -249,8 +284,13 @@
 	} else {
 		f.apply(t, s.Records, s.Next)
 	}
+	if s.Age > 0 && s.Next == state.next {
+		// This VM need not read the store to see that it has everything.
+		state.recordProof(received.Add(-s.Age))
+	}
 	state.history = history{} // The state lacks replaced records, so the steps have a gap.
 	state.loaded = true
+	state.signalAdvance()
 	f.config.Logger.Info("topic taken from another VM", zap.Stringer("topic", t), zap.Int64("from", q.From), zap.Int64("next", s.Next),
 		zap.Int("records", len(s.Records)), zap.String("announced_by", q.AnnouncedBy))
 	return true
--- a/internal/fleet/gossip/presence.go
+++ b/internal/fleet/gossip/presence.go
@@ -86,6 +86,22 @@
 	return g.rank(name, func(m Member) bool { return m.Zone == g.config.Self.Zone })
 }
 
+// ZoneOrder returns the present members of this VM's own zone, this VM included, in the
+// order of their ranks for a name.
+func (g *Gossip) ZoneOrder(name string) []Member {
+	now := time.Now()
+	g.mu.Lock()
+	list := []Member{g.config.Self}
+	for _, p := range g.members {
+		if p.present(now) && p.member.Zone == g.config.Self.Zone {
+			list = append(list, p.member)
+		}
+	}
+	g.mu.Unlock()
+	slices.SortFunc(list, func(a, b Member) int { return cmp.Compare(weight(name, b.Name), weight(name, a.Name)) })
+	return list
+}
+
 // rank returns the number of present members that include accepts and that rank before
 // this VM for a name.
 func (g *Gossip) rank(name string, include func(Member) bool) int {
