rollout: who runs which configuration and settings

The users could not tell from outside when every zone has taken a change of the settings. Each VM reports the version of its configuration and a digest of the settings that all machines share (the file without localNode and listenAddresses; fields that are not used here count too). Any VM returns, on its metrics address under /status, how many VMs of each zone run what, since when, and some names of those that differ from most of their zone; bounded to 5 names a group.

--- a/internal/command/cli/status.go
+++ b/internal/command/cli/status.go
@@ -13,6 +13,7 @@
 type statusCommand struct {
 	connection
 	output
+	VM string `help:"Metrics address (ip:port) of an entry VM. Prints what the entry VMs run, instead of the nodes; needs no token." name:"vm" placeholder:"IP:PORT"`
 }
 
 // Help returns the detailed help text of the subcommand.
@@ -21,12 +22,20 @@
 work, the log, the nodes with the position that each has applied, and the
 availability zones with the versions that last took them out or in.
 
-Example:
-  chestnutbay status --output json`
+With --vm it prints, as that entry VM knows it, how many VMs of each availability
+zone run which configuration and settings, since when, and which of them differ from
+most of their zone. The settings are named by a digest of what all machines share.
+
+Examples:
+  chestnutbay status --output json
+  chestnutbay status --vm 10.1.0.30:9464`
 }
 
 // Run prints the state of the fleet.
 func (c statusCommand) Run(a *app) error {
+	if c.VM != "" {
+		return c.runVM(a)
+	}
 	client, err := c.client()
 	if err != nil {
 		return err
--- a/internal/fleet/entry/control.go
+++ b/internal/fleet/entry/control.go
@@ -171,7 +171,7 @@
 func (v *VM) checkRegistered(ctx context.Context, registered bool) error {
 	ctx, cancel := context.WithTimeout(ctx, controlTimeout)
 	defer cancel()
-	self := gossip.Member{Name: v.config.Name, Zone: v.config.Zone, Address: v.config.FleetAddress}
+	self := v.self()
 	if !registered {
 		if err := v.config.Members.Register(ctx, self); err != nil {
 			return err
@@ -189,6 +189,11 @@
 	return nil
 }
 
+// self returns this VM's entry in the list of VMs.
+func (v *VM) self() gossip.Member {
+	return gossip.Member{Name: v.config.Name, Zone: v.config.Zone, Address: v.config.FleetAddress}
+}
+
 // removeFromList removes a silent VM from the list in the store, if this VM is
 // designated to do so. A VM that is removed although it still runs registers itself
 // again.
--- a/internal/fleet/entry/entry.go
+++ b/internal/fleet/entry/entry.go
@@ -32,6 +32,7 @@
 	"chestnutbay.dev/chestnutbay/internal/contract/routing"
 	"chestnutbay.dev/chestnutbay/internal/fleet/feed"
 	"chestnutbay.dev/chestnutbay/internal/fleet/gossip"
+	"chestnutbay.dev/chestnutbay/internal/fleet/rollout"
 	"chestnutbay.dev/chestnutbay/internal/limit/quota"
 	"chestnutbay.dev/chestnutbay/internal/target/balancer"
 	"chestnutbay.dev/chestnutbay/internal/target/departure"
@@ -79,6 +80,8 @@
 	FirstStart bool
 	// GracePeriod is the maximum duration of a planned stop. 0 stands for 30 s.
 	GracePeriod time.Duration
+	// SettingsDigest identifies the settings that the VMs of a fleet share.
+	SettingsDigest string
 
 	Logger *zap.Logger
 }
@@ -105,6 +108,7 @@
 	outbox      announcementQueue
 	silentVMs   chan string // silent VMs to remove from the store's list
 	refusals    refusals
+	rollout     *rollout.Tracker
 	packed      packedStates
 
 	callersListener, readinessListener, metricsListener, controlListener net.Listener
@@ -153,7 +157,7 @@
 func (v *VM) assemble(conn net.PacketConn) {
 	c := v.config
 	v.gossip = gossip.New(gossip.Config{
-		Self:           gossip.Member{Name: c.Name, Zone: c.Zone, Address: c.FleetAddress},
+		Self:           v.self(),
 		Incarnation:    v.incarnation,
 		Conn:           conn,
 		Compose:        v.compose,
@@ -166,6 +170,8 @@
 		RecentTraffic: func(service string) (float64, float64) { return v.budget.RecentTraffic(service) },
 	})
 	v.departures = departure.New(departure.Config{Directory: &v.directory, Changed: v.gossip.RequestSend})
+	v.rollout = rollout.New(rollout.Config{Changed: v.gossip.RequestSend})
+	v.rollout.SetSettings(c.SettingsDigest)
 	v.quota = quota.New(quota.Config{Presence: v.gossip, Changed: v.gossip.RequestSend})
 	v.budget = retry.NewFleetBudget(retry.FleetConfig{Ratio: c.RetryRatio, Slack: c.RetrySlack, Heard: v.gossip.Heard, FirstStart: c.FirstStart})
 	v.feed = feed.New(feed.Config{
@@ -185,6 +191,8 @@
 	RetryRatio  float64
 	RetrySlack  float64
 	GracePeriod time.Duration
+	// SettingsDigest is as in Config.
+	SettingsDigest string
 }
 
 // Adjust applies changed settings. A changed grace period applies to planned stops that
@@ -192,6 +200,7 @@
 func (v *VM) Adjust(a Adjustment) {
 	v.budget.Adjust(a.RetryRatio, a.RetrySlack)
 	v.gracePeriod.Store(int64(a.GracePeriod))
+	v.rollout.SetSettings(a.SettingsDigest)
 }
 
 // WarmupRate returns how many requests per second a cold instance of a service can take
--- a/internal/fleet/entry/message.go
+++ b/internal/fleet/entry/message.go
@@ -6,6 +6,7 @@
 
 	"chestnutbay.dev/chestnutbay/internal/fleet/feed"
 	"chestnutbay.dev/chestnutbay/internal/fleet/gossip"
+	"chestnutbay.dev/chestnutbay/internal/fleet/rollout"
 	"chestnutbay.dev/chestnutbay/internal/limit/quota"
 	"chestnutbay.dev/chestnutbay/internal/target/balancer"
 	"chestnutbay.dev/chestnutbay/internal/target/departure"
@@ -19,6 +20,7 @@
 	Services      []retry.Report      `cbor:"3,keyasint,omitempty"`
 	Announcements []feed.Announcement `cbor:"4,keyasint,omitempty"`
 	Departures    []departure.Notice  `cbor:"5,keyasint,omitempty"`
+	Running       *rollout.Running    `cbor:"6,keyasint,omitempty"`
 }
 
 // maxReportBytes is an upper bound for the encoded size of one report without its name.
@@ -42,6 +44,9 @@
 	for _, d := range p.Departures {
 		n += len(d.Instance) + maxReportBytes
 	}
+	if p.Running != nil {
+		n += len(p.Running.Settings) + maxReportBytes
+	}
 	return n
 }
 
@@ -93,6 +98,9 @@
 		p := c.payloadFor(len(r.Service) + maxReportBytes)
 		p.Services = append(p.Services, r)
 	}
+	if r, ok := v.rollout.Report(); ok {
+		c.payloadFor(len(r.Settings) + maxReportBytes).Running = &r
+	}
 	if len(c.payloads) == 0 {
 		c.payloads = append(c.payloads, payload{})
 	}
@@ -124,6 +132,9 @@
 	for _, a := range p.Announcements {
 		v.feed.HandleAnnouncement(from.Name, a)
 	}
+	if p.Running != nil {
+		v.rollout.Observe(from.Name, *p.Running)
+	}
 	v.departures.Observe(p.Departures)
 	v.balancer.Observe(from.Name, from.Incarnation, p.Instances, from.Baseline)
 	v.quota.Observe(from.Name, from.Incarnation, p.Accounts, v.limits, from.Baseline)
@@ -150,6 +161,7 @@
 	v.balancer.ForgetVM(vm)
 	v.quota.ForgetVM(vm)
 	v.budget.ForgetVM(vm)
+	v.rollout.ForgetVM(vm)
 	select {
 	case v.silentVMs <- vm:
 	default:
--- a/internal/fleet/entry/metrics.go
+++ b/internal/fleet/entry/metrics.go
@@ -1,13 +1,16 @@
 package entry
 
 import (
+	"encoding/json"
 	"net/http"
+	"strconv"
 
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
 	"chestnutbay.dev/chestnutbay/internal/fleet/feed"
 	"chestnutbay.dev/chestnutbay/internal/fleet/gossip"
+	"chestnutbay.dev/chestnutbay/internal/fleet/rollout"
 )
 
 // registerMetrics registers the metrics of the configuration, the instances, the fleet,
@@ -38,6 +41,8 @@
 	counter("chestnutbay_datagrams_sent_total", "Datagrams to other VMs.", stat(func(s gossip.Stats) uint64 { return s.Sent }))
 	counter("chestnutbay_datagrams_received_total", "Datagrams from other VMs.", stat(func(s gossip.Stats) uint64 { return s.Received }))
 	counter("chestnutbay_datagrams_passed_on_total", "Datagrams passed on in the own zone.", stat(func(s gossip.Stats) uint64 { return s.PassedOn }))
+	counter("chestnutbay_datagram_bundles_total", "Bundles of datagrams that this VM put together.", stat(func(s gossip.Stats) uint64 { return s.Bundles }))
+	v.registry.MustRegister(newRolloutCollector(v.status))
 	counter("chestnutbay_datagram_bytes_sent_total", "Bytes of datagrams to other VMs.", stat(func(s gossip.Stats) uint64 { return s.BytesSent }))
 }
 
@@ -51,6 +56,52 @@
 	return age.Seconds()
 }
 
+// StatusPath is the path of the metrics address under which a VM returns what the VMs of
+// the fleet run, a rollout.Status as JSON.
+const StatusPath = "/status"
+
+// metricsHandler serves the status under StatusPath and the metrics under all other paths.
 func (v *VM) metricsHandler() http.Handler {
-	return promhttp.HandlerFor(v.registry, promhttp.HandlerOpts{})
+	mux := http.NewServeMux()
+	mux.Handle("/", promhttp.HandlerFor(v.registry, promhttp.HandlerOpts{}))
+	mux.HandleFunc("GET "+StatusPath, v.serveStatus)
+	return mux
+}
+
+// serveStatus returns what the VMs of the fleet run.
+func (v *VM) serveStatus(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Content-Type", "application/json")
+	json.NewEncoder(w).Encode(v.status()) //nolint:errcheck // A caller that has disconnected cannot be told.
+}
+
+// status returns what the VMs of the fleet run, as this VM knows it.
+func (v *VM) status() rollout.Status {
+	return v.rollout.Status(v.self(), v.gossip.Members())
+}
+
+// rolloutCollector collects the number of VMs of each zone by what they run.
+type rolloutCollector struct {
+	status func() rollout.Status
+	desc   *prometheus.Desc
+}
+
+func newRolloutCollector(status func() rollout.Status) *rolloutCollector {
+	return &rolloutCollector{status: status, desc: prometheus.NewDesc("chestnutbay_zone_vms",
+		"VMs of an availability zone by the configuration and settings that they run. Unknown ones have not reported.",
+		[]string{"zone", "configuration", "settings"}, nil)}
+}
+
+// Describe implements prometheus.Collector.
+func (c *rolloutCollector) Describe(ch chan<- *prometheus.Desc) { ch <- c.desc }
+
+// Collect implements prometheus.Collector.
+func (c *rolloutCollector) Collect(ch chan<- prometheus.Metric) {
+	for _, z := range c.status().Zones {
+		if z.Unknown > 0 {
+			ch <- prometheus.MustNewConstMetric(c.desc, prometheus.GaugeValue, float64(z.Unknown), z.Name, "unknown", "unknown")
+		}
+		for _, g := range z.Groups {
+			ch <- prometheus.MustNewConstMetric(c.desc, prometheus.GaugeValue, float64(g.VMs), z.Name, strconv.FormatInt(g.Version, 10), g.Settings)
+		}
+	}
 }
--- a/internal/fleet/entry/state.go
+++ b/internal/fleet/entry/state.go
@@ -95,6 +95,7 @@
 		return
 	}
 	v.table.Store(table)
+	v.rollout.SetVersion(c.Version)
 	log.Info("configuration in force", zap.Int("routes", table.RouteCount()), zap.Int("accounts", table.AccountCount()))
 }
 
