ingress, entry: nothing accepted is cut off, no old state after a restart

- A planned stop under load reset the connections that waited in the system's queue when the listener was closed, whose callers may have sent requests.
- A VM that restarts while the store refuses it took the state of the first seed that answered, also from one that is cut off: a withdrawn key worked again.
It takes the newest state of the VMs that it asks.

--- a/internal/fleet/entry/peerstate.go
+++ b/internal/fleet/entry/peerstate.go
@@ -163,8 +163,11 @@
 }
 
 // State asks up to maxPeersAsked other VMs in turn and returns the first state that
-// covers the topic up to q.MinNext. It implements feed.Peers.
+// covers the topic up to q.MinNext. A VM that has just started knows no such offset. It
+// takes the newest state of all that it asks, since one of the VMs may be cut off and still
+// hold a key that was withdrawn or an instance that has left. It implements feed.Peers.
 func (v *VM) State(ctx context.Context, q feed.Query) (feed.State, error) {
+	var newest feed.State
 	asked := 0
 	for _, address := range v.peersToAsk(q) {
 		if address == v.config.FleetAddress || asked == maxPeersAsked || ctx.Err() != nil {
@@ -172,12 +175,21 @@
 		}
 		asked++
 		s, err := askState(ctx, address, q)
-		if err == nil && s.Next >= q.MinNext {
+		if err != nil || s.Next < q.MinNext {
+			v.config.Logger.Debug("another VM did not return the needed state", zap.Stringer("address", address), zap.Int64("next", s.Next), zap.Error(err))
+			continue
+		}
+		if q.MinNext > 0 {
 			return s, nil
 		}
-		v.config.Logger.Debug("another VM did not return the needed state", zap.Stringer("address", address), zap.Int64("next", s.Next), zap.Error(err))
+		if s.Next > newest.Next {
+			newest = s
+		}
+	}
+	if newest.Next == 0 {
+		return feed.State{}, errNoVM
 	}
-	return feed.State{}, errNoVM
+	return newest, nil
 }
 
 // peersToAsk returns the addresses of the VMs to ask for a state, in this order.
--- a/internal/traffic/ingress/ingress.go
+++ b/internal/traffic/ingress/ingress.go
@@ -101,6 +101,7 @@
 	leaving   atomic.Bool
 	inFlight  atomic.Int64
 	idleConns idleConns
+	listener  atomic.Pointer[drainListener] // nil before Serve
 }
 
 // New returns a server that does not listen yet; see Serve.
@@ -151,7 +152,9 @@
 // Serve accepts connections on l until Shutdown or Close is called. It then returns
 // http.ErrServerClosed.
 func (s *Server) Serve(l net.Listener) error {
-	return s.http.Serve(message.NewListener(l, s.secret, s.maxHeadBytes))
+	d := newDrainListener(l)
+	s.listener.Store(d)
+	return s.http.Serve(message.NewListener(d, s.secret, s.maxHeadBytes))
 }
 
 // Leave makes the server close each connection after its next response, so that callers
@@ -161,9 +164,13 @@
 // InFlight returns how many requests are in progress.
 func (s *Server) InFlight() int { return int(s.inFlight.Load()) }
 
-// Shutdown closes the listeners and the idle connections, and waits until the requests
-// in progress end or ctx is done, in which case it returns the context's error.
+// Shutdown accepts the connections that wait, closes the listener and the idle
+// connections, and waits until the requests in progress end or ctx is done, in which case
+// it returns the context's error.
 func (s *Server) Shutdown(ctx context.Context) error {
+	if l := s.listener.Load(); l != nil {
+		l.drain()
+	}
 	err := s.http.Shutdown(ctx)
 	s.transport.Close()
 	return err
