--- a/internal/fleet/feed/feed.go
+++ b/internal/fleet/feed/feed.go
@@ -78,51 +78,6 @@
 	State(ctx context.Context, q Query) (State, error)
 }
 
-// Query describes the records that a VM needs from another one.
-type Query struct {
-	Topic Topic
-	// From is the offset up to which the asking VM has read the topic.
-	From int64
-	// MinNext is the offset up to which the other VM must have read.
-	MinNext int64
-	// AnnouncedBy names a VM that announced that it has read up to MinNext, or is "".
-	AnnouncedBy string
-	// Spread asks the VMs of the own zone in the order in which a large record spreads
-	// there (see Ancestors), and waits until the asked VM has read up to MinNext. VMs of
-	// other zones are not asked: traffic between zones costs more than a call to the
-	// store.
-	Spread bool
-}
-
-// State is a VM's copy of a topic: the newest record of each key, either from an
-// offset on or of the entire topic.
-type State struct {
-	Records []Record `json:"records"`
-	// Next is the offset after the last record that the VM has read.
-	Next int64 `json:"next"`
-	// Full reports whether the state covers the entire topic. Keys without a record
-	// then do not exist.
-	Full bool `json:"whole,omitempty"`
-	// Age is the age of the VM's proof that the topic ends at Next. 0 means that there is
-	// no proof.
-	Age time.Duration `json:"age_ns,omitempty"`
-}
-
-// Announcement tells the other VMs how far a VM has read a topic.
-type Announcement struct {
-	Topic Topic `cbor:"1,keyasint"`
-	// From and Next bound the announced range of offsets: From is its first offset and
-	// Next the offset after its end.
-	From int64 `cbor:"2,keyasint"`
-	Next int64 `cbor:"3,keyasint"`
-	// Age is the time since the read began.
-	Age time.Duration `cbor:"4,keyasint"`
-	// Records holds the newest record of each key that changed significantly between
-	// From and Next. Complete reports whether none of these records is missing.
-	Records  []Record `cbor:"5,keyasint,omitempty"`
-	Complete bool     `cbor:"6,keyasint,omitempty"`
-}
-
 // Timing and sizes of reads and announcements.
 const (
 	// readPeriod is the interval between two reads of a topic, counted over the whole
@@ -222,33 +177,6 @@
 	reads  uint64
 }
 
-// topicState holds this VM's copy of one topic and how current the copy is.
-type topicState struct {
-	records        map[string]Record      // newest record of each key, removals included
-	next           int64                  // offset after the last record read
-	verified       time.Time              // start of the latest read that showed that the topic ends at next
-	loaded         bool                   // the topic was loaded from the store or another VM
-	announcedNext  int64                  // highest offset that another VM announced
-	announcedBy    string                 // the VM that announced it
-	announcedAt    time.Time              // when this VM received that announcement
-	lastReadFailed bool                   // the store did not answer this VM's last read
-	restoredAt     time.Time              // when the first proof after an outage of the store arrived
-	heldRemovals   map[string]heldRemoval // by key
-	history        history
-	advanced       chan struct{} // closed when next rises or the topic is loaded; nil if nobody waits
-
-	tombstones   map[string]time.Time // time at which the removal of each removed key was applied
-	removalsFrom int64                // removals from this offset on are all remembered
-	lastSweep    time.Time
-}
-
-// heldRemoval is the removal of an instance, held back for a grace period because
-// the instance may register again.
-type heldRemoval struct {
-	record Record
-	due    time.Time
-}
-
 // New returns a feed that has not read anything yet.
 func New(c Config) *Feed {
 	if c.Logger == nil {
@@ -384,25 +312,6 @@
 	state.signalAdvance()
 }
 
-// withoutSuperseded returns the records without the values that a later value of their key
-// in the list replaces. A configuration is large, and only the newest one comes into force.
-func withoutSuperseded(records []Record) []Record {
-	last := make(map[string]int, len(records))
-	for i, r := range records {
-		last[r.Key] = i
-	}
-	if len(last) == len(records) {
-		return records
-	}
-	list := make([]Record, 0, len(records))
-	for i, r := range records {
-		if newest := last[r.Key]; newest == i || r.Value == nil || records[newest].Value == nil {
-			list = append(list, r)
-		}
-	}
-	return list
-}
-
 // noteAnnounced makes this VM catch up if it has not read up to an offset.
 func (f *Feed) noteAnnounced(t Topic, next int64) {
 	f.mu.Lock()
@@ -417,14 +326,6 @@
 	}
 }
 
-// signalAdvance wakes the calls of AwaitNext. The caller holds the lock.
-func (state *topicState) signalAdvance() {
-	if state.advanced != nil {
-		close(state.advanced)
-		state.advanced = nil
-	}
-}
-
 // AwaitNext waits until this VM has read a topic up to an offset that another VM knows of,
 // or until ctx ends. The offset counts as announced: this VM may have missed the
 // announcement.
@@ -450,58 +351,6 @@
 	}
 }
 
-// updateTombstone adds a tombstone for a removed key, and deletes the tombstone of a
-// key that has a value again.
-func (state *topicState) updateTombstone(r Record) {
-	if r.Value != nil {
-		delete(state.tombstones, r.Key)
-		return
-	}
-	state.tombstones[r.Key] = time.Now()
-}
-
-// sweep deletes tombstones older than tombstoneTTL and the records of their keys.
-func (state *topicState) sweep(now time.Time) {
-	if now.Sub(state.lastSweep) < sweepPeriod {
-		return
-	}
-	state.lastSweep = now
-	for key, at := range state.tombstones {
-		if now.Sub(at) < tombstoneTTL {
-			continue
-		}
-		state.removalsFrom = max(state.removalsFrom, state.records[key].Offset+1)
-		delete(state.records, key)
-		delete(state.tombstones, key)
-	}
-}
-
-// recordProof records a proof of completeness: a read that began at the given time
-// reached the topic's end, and this VM has all records that it found.
-func (state *topicState) recordProof(began time.Time) {
-	if state.loaded && began.Sub(state.verified) > outageThreshold {
-		state.restoredAt = time.Now()
-	}
-	if began.After(state.verified) {
-		state.verified = began
-	}
-}
-
-// holdRemoval holds back the removal of an instance's registration if the store was
-// unavailable until recently: the registration may have expired only because the
-// instance could not renew it. It reports whether the removal is held back.
-func (state *topicState) holdRemoval(t Topic, r Record) bool {
-	if t != Instances || r.Value != nil {
-		return false
-	}
-	due := state.restoredAt.Add(removalGracePeriod)
-	if time.Now().After(due) {
-		return false
-	}
-	state.heldRemovals[r.Key] = heldRemoval{record: r, due: due}
-	return true
-}
-
 // applyDueRemovals applies the held removals whose grace period is over. The caller
 // holds the lock.
 func (f *Feed) applyDueRemovals(t Topic, now time.Time) {
--- a/internal/fleet/gossip/gossip.go
+++ b/internal/fleet/gossip/gossip.go
@@ -21,7 +21,6 @@
 
 import (
 	"context"
-	"errors"
 	"math/rand/v2"
 	"net"
 	"net/netip"
@@ -150,18 +149,6 @@
 	Bundles, Parts uint64
 }
 
-// peer is the state of another member.
-type peer struct {
-	member          Member
-	added           time.Time // when it was added or its entry in the list changed
-	lastHeard       time.Time // when its last new datagram arrived
-	incarnation     uint64
-	firstHeard      time.Time // when the first datagram of this incarnation arrived
-	hasBaseline     bool      // its counts may include events from before this VM could receive them
-	highestSequence uint64    // highest sequence number received
-	receivedBits    uint64    // bit n is set if sequence number highestSequence-n was received
-}
-
 // New returns a Gossip that knows no other members yet.
 func New(c Config) *Gossip {
 	if c.Logger == nil {
@@ -170,36 +157,6 @@
 	return &Gossip{config: c, wake: make(chan bool, 1), start: time.Now(), members: make(map[string]*peer), bundleBegun: make(chan struct{}, 1)}
 }
 
-// AddMembers adds the VMs of the platform's list to the members. The list may include
-// this VM.
-func (g *Gossip) AddMembers(list []Member) {
-	for _, m := range list {
-		g.addMember(m)
-	}
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	g.listed = true
-}
-
-// addMember adds a listed VM. If the VM is already a member, its zone and address are
-// taken from the list only after it has been silent for presenceTimeout, because its
-// datagrams carry its current zone and address.
-func (g *Gossip) addMember(m Member) {
-	if m.Name == g.config.Self.Name || m.Name == "" || !m.Address.IsValid() {
-		return
-	}
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	p := g.members[m.Name]
-	if p == nil {
-		g.members[m.Name] = &peer{member: m, added: time.Now()}
-		return
-	}
-	if p.member != m && time.Since(p.lastHeard) > presenceTimeout {
-		p.member, p.added = m, time.Now()
-	}
-}
-
 // RequestSend requests a datagram with the latest reports. An urgent datagram is sent as
 // soon as urgentGap has passed since the previous datagram. RequestSend does not block.
 func (g *Gossip) RequestSend(urgent bool) {
@@ -351,36 +308,6 @@
 	}
 }
 
-// recipients returns the VMs of the own zone and one VM of each other zone. The
-// caller holds the lock.
-func (g *Gossip) recipients(now time.Time) (neighbors, relays []Member) {
-	zones := make(map[string][]*peer)
-	for _, p := range g.members {
-		if p.member.Zone == g.config.Self.Zone {
-			neighbors = append(neighbors, p.member)
-			continue
-		}
-		zones[p.member.Zone] = append(zones[p.member.Zone], p)
-	}
-	for _, list := range zones {
-		relays = append(relays, pickRelay(list, now).member)
-	}
-	return neighbors, relays
-}
-
-// pickRelay returns a random VM of those heard within presenceTimeout, or of all if
-// there is none.
-func pickRelay(list []*peer, now time.Time) *peer {
-	start := rand.IntN(len(list))
-	for i := range list {
-		p := list[(start+i)%len(list)]
-		if now.Sub(p.lastHeard) < presenceTimeout {
-			return p
-		}
-	}
-	return list[start]
-}
-
 // write sends a datagram to a member.
 func (g *Gossip) write(datagram []byte, m Member) {
 	// A send error has the same effect as a datagram lost on the way.
@@ -392,175 +319,3 @@
 		g.stats.BytesSent += uint64(len(datagram))
 	}
 }
-
-// receive handles incoming datagrams until ctx ends or the connection is closed.
-func (g *Gossip) receive(ctx context.Context) error {
-	buffer := make([]byte, 64<<10)
-	for {
-		n, _, err := g.config.Conn.ReadFrom(buffer)
-		if ctx.Err() != nil || errors.Is(err, net.ErrClosed) {
-			return nil
-		}
-		if err != nil {
-			// Sending to a closed port of another VM can cause an error here; the socket
-			// stays usable.
-			continue
-		}
-		g.handle(buffer[:n])
-	}
-}
-
-// handle decodes a datagram, passes it on if asked to, and delivers its payload, or those
-// of its parts.
-func (g *Gossip) handle(datagram []byte) {
-	var e envelope
-	if err := cbor.Unmarshal(datagram, &e); err != nil {
-		g.countMalformed()
-		return
-	}
-	g.countReceived()
-	if len(e.Parts) > 0 {
-		g.handleBundle(&e)
-		return
-	}
-	if !g.checkSender(&e) {
-		return
-	}
-	if e.Collect {
-		g.addToBundle(datagram)
-	}
-	passOn := e.PassOn
-	e.PassOn, e.Collect = false, false
-	if g.deliver(&e) && passOn {
-		g.mu.Lock()
-		g.stats.PassedOn++
-		neighbors := g.neighborsExcept(e.From.Name)
-		g.mu.Unlock()
-		g.sendTo(&e, neighbors)
-	}
-}
-
-// checkSender reports whether an envelope names another VM as its sender.
-func (g *Gossip) checkSender(e *envelope) bool {
-	if e.From.Name == "" || e.From.Name == g.config.Self.Name || !e.From.Address.IsValid() || e.From.Address.Port() == 0 {
-		g.countMalformed()
-		return false
-	}
-	return true
-}
-
-func (g *Gossip) countMalformed() {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	g.stats.Malformed++
-}
-
-func (g *Gossip) countReceived() {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	g.stats.Received++
-}
-
-// deliver hands an envelope's payload to the configured receiver, or removes a sender that
-// leaves. It reports whether the envelope is newer than all earlier ones of its sender.
-func (g *Gossip) deliver(e *envelope) bool {
-	fresh, baseline := g.accept(e)
-	if !fresh {
-		return false
-	}
-	if e.Leaving {
-		g.removeMember(e.From.Name)
-	} else {
-		g.config.Receive(Sender{Name: e.From.Name, Incarnation: e.Incarnation, Baseline: baseline}, e.Payload)
-	}
-	return true
-}
-
-// removeMember removes a VM that has announced its stop.
-func (g *Gossip) removeMember(name string) {
-	g.mu.Lock()
-	delete(g.members, name)
-	g.mu.Unlock()
-}
-
-// accept updates the state of a datagram's sender. fresh reports whether the datagram is
-// newer than all earlier ones of the sender, and baseline whether its counts are a
-// baseline (see Sender).
-func (g *Gossip) accept(e *envelope) (fresh, baseline bool) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	p := g.members[e.From.Name]
-	if p == nil {
-		p = &peer{added: time.Now()}
-		g.members[e.From.Name] = p
-	}
-	p.member = e.From
-	now := time.Now()
-	if p.incarnation != e.Incarnation {
-		p.incarnation, p.highestSequence, p.receivedBits = e.Incarnation, 0, 0
-		p.firstHeard, p.hasBaseline = now, e.Age > min(now.Sub(g.start), baselinePeriod)
-	}
-	if !p.recordSequence(e.Sequence) {
-		g.stats.Duplicates++
-		return false, false
-	}
-	p.lastHeard = now
-	return true, p.hasBaseline && now.Sub(p.firstHeard) < baselinePeriod
-}
-
-// neighborsExcept returns the members of the own zone other than this VM and the named
-// one. The caller holds the lock.
-func (g *Gossip) neighborsExcept(name string) []Member {
-	var list []Member
-	for _, p := range g.members {
-		if p.member.Name != name && p.member.Zone == g.config.Self.Zone {
-			list = append(list, p.member)
-		}
-	}
-	return list
-}
-
-// recordSequence records a received sequence number and reports whether it is higher
-// than all earlier ones.
-func (p *peer) recordSequence(sequence uint64) bool {
-	if sequence > p.highestSequence {
-		p.receivedBits = p.receivedBits<<(sequence-p.highestSequence) | 1
-		p.highestSequence = sequence
-		return true
-	}
-	age := p.highestSequence - sequence
-	if age >= sequenceWindow || p.receivedBits&(1<<age) != 0 {
-		return false
-	}
-	p.receivedBits |= 1 << age
-	// Reports hold running counts, so one that arrives after a later one adds nothing.
-	return false
-}
-
-// removeSilent removes the VMs that have been silent for longer than memberTimeout.
-func (g *Gossip) removeSilent(now time.Time) {
-	var removed []string
-	g.mu.Lock()
-	for name, p := range g.members {
-		if now.Sub(p.lastActive()) > memberTimeout {
-			delete(g.members, name)
-			removed = append(removed, name)
-		}
-	}
-	g.mu.Unlock()
-	for _, name := range removed {
-		g.config.Logger.Info("VM is no longer a member", zap.String("other", name), zap.Duration("silent", memberTimeout))
-		if g.config.MemberTimedOut != nil {
-			g.config.MemberTimedOut(name)
-		}
-	}
-}
-
-// lastActive returns the later of two times: when the VM was last heard and when it was
-// added.
-func (p *peer) lastActive() time.Time {
-	if p.lastHeard.After(p.added) {
-		return p.lastHeard
-	}
-	return p.added
-}
