--- a/internal/fleet/gossip/gossip.go
+++ b/internal/fleet/gossip/gossip.go
@@ -133,6 +133,8 @@
 	listed   bool // whether AddMembers was called, so that the platform's list of VMs is known
 	sequence uint64
 	stats    Stats
+	heard    float64   // the share of heard VMs as of heardAt
+	heardAt  time.Time // see Heard
 
 	bundle      bundle
 	bundleBegun chan struct{} // receives when the bundle gets its first part
--- a/internal/fleet/gossip/member.go
+++ b/internal/fleet/gossip/member.go
@@ -28,6 +28,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.listed = true
+	g.heardAt = time.Time{} // the fleet may be larger than this VM has counted
 }
 
 // addMember adds a listed VM. If the VM is already a member, its zone and address are
--- a/internal/fleet/gossip/presence.go
+++ b/internal/fleet/gossip/presence.go
@@ -12,11 +12,24 @@
 // would admit the whole rate of each client account.
 const unknownFleetRatio = 0.02
 
+// heardTTL is how long a computed share of heard VMs is used. It is asked for at every
+// report of another VM, and changes when a VM has been silent for presenceTimeout.
+const heardTTL = 50 * time.Millisecond
+
 // Heard returns the part of the members that are present, from 0 to 1, this VM included.
 func (g *Gossip) Heard() float64 {
 	now := time.Now()
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	if now.Sub(g.heardAt) >= heardTTL {
+		g.heard, g.heardAt = g.computeHeard(now), now
+	}
+	return g.heard
+}
+
+// computeHeard returns the part of the members that are present. The caller holds the
+// lock.
+func (g *Gossip) computeHeard(now time.Time) float64 {
 	if !g.listed && (len(g.members) == 0 || now.Sub(g.start) < presenceTimeout) {
 		return unknownFleetRatio
 	}
