--- a/internal/traffic/ingress/endless_test.go
+++ b/internal/traffic/ingress/endless_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"errors"
 	"io"
 	"net"
 	"net/http"
@@ -142,8 +143,8 @@
 			for err == nil {
 				_, err = io.WriteString(c, text)
 			}
-			timeout, ok := err.(net.Error)
-			is.True(!ok || !timeout.Timeout()) // the server closes the connection
+			var timeout net.Error
+			is.True(!errors.As(err, &timeout) || !timeout.Timeout()) // the server closes the connection
 			for _, r := range targets[0].requests() {
 				t.Errorf("the target got %s %s with %d bytes", r.method, r.uri, len(r.body))
 			}
--- a/internal/traffic/ingress/stop_test.go
+++ b/internal/traffic/ingress/stop_test.go
@@ -42,6 +42,7 @@
 					resp, err := http.ReadResponse(bufio.NewReader(c), nil)
 					if err == nil {
 						_, err = io.Copy(io.Discard, resp.Body)
+						resp.Body.Close()
 					}
 					if err != nil {
 						cutOff.Add(1)
