gossip, quota: intervals of at most a second in the largest fleets

Beyond 1,000 VMs the interval between two datagrams of a VM passed the 2.5 s after which it counts as absent (2.75 s at 1,100): shares of rates fell though all VMs ran. It is now bounded by the heartbeat. TestPresentInHugeFleet fails before.

--- a/internal/fleet/gossip/bundle_test.go
+++ b/internal/fleet/gossip/bundle_test.go
@@ -2,11 +2,14 @@
 
 import (
 	"fmt"
+	"net/netip"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
+
+	"chestnutbay.dev/chestnutbay/internal/fleet/gossip"
 )
 
 // keepSending makes each VM ask for a datagram several times a second, as requests do.
@@ -145,6 +148,31 @@
 	})
 }
 
+// TestPresentInHugeFleet guards against VMs that count as absent because the interval
+// between two datagrams follows the number of VMs without a bound.
+func TestPresentInHugeFleet(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFleet(1, 2)
+		defer f.stop()
+		var many []gossip.Member
+		for i := range 1100 { // VMs of the list that do not run
+			many = append(many, gossip.Member{Name: fmt.Sprint("other-", i), Zone: "zone-1", Address: netip.MustParseAddrPort(fmt.Sprintf("10.9.%d.%d:1", i/250, i%250+1))})
+		}
+		f.vms[0].gossip.AddMembers(many)
+		f.vms[1].gossip.AddMembers(many)
+		last := time.Now()
+		before := f.vms[1].gossip.Stats().Received
+		for begun := time.Now(); time.Since(begun) < 10*time.Second; time.Sleep(50 * time.Millisecond) {
+			f.vms[0].gossip.RequestSend(false)
+			if n := f.vms[1].gossip.Stats().Received; n != before {
+				before, last = n, time.Now()
+			}
+			is.True(time.Since(last) < 1500*time.Millisecond)
+		}
+	})
+}
+
 // BenchmarkFleet reports the datagrams that each VM sends and receives a second while all
 // VMs have reports of 200 bytes to send, in virtual time.
 func BenchmarkFleet(b *testing.B) {
--- a/internal/fleet/gossip/gossip.go
+++ b/internal/fleet/gossip/gossip.go
@@ -258,11 +258,13 @@
 	}
 }
 
-// sendGap returns the shortest interval between two datagrams that are not urgent.
+// sendGap returns the shortest interval between two datagrams that are not urgent. It is
+// at most a heartbeat, since a VM that is silent for longer soon counts as absent.
 func (g *Gossip) sendGap() time.Duration {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return max(minGap, time.Duration(float64(len(g.members))/maxIncomingRate*float64(time.Second)))
+	gap := time.Duration(float64(len(g.members)) / maxIncomingRate * float64(time.Second))
+	return min(max(gap, minGap), heartbeat)
 }
 
 // Leave tells the other VMs that this one stops. They remove it from their members.
