entry: a VM that starts takes its first state from a seed

A VM that is no seed asks the seeds for both topics before the store; a seed that has not loaded yet lets it wait 300 ms.

--- a/internal/fleet/entry/entry.go
+++ b/internal/fleet/entry/entry.go
@@ -175,7 +175,7 @@
 	v.quota = quota.New(quota.Config{Presence: v.gossip, Changed: v.gossip.RequestSend})
 	v.budget = retry.NewFleetBudget(retry.FleetConfig{Ratio: c.RetryRatio, Slack: c.RetrySlack, Heard: v.gossip.Heard, FirstStart: c.FirstStart})
 	v.feed = feed.New(feed.Config{
-		Source: c.Source, Apply: v.apply, Announce: v.announce, Rank: v.gossip.Rank, ZoneRank: v.gossip.ZoneRank, Peers: v,
+		Source: c.Source, Apply: v.apply, Announce: v.announce, Rank: v.gossip.Rank, ZoneRank: v.gossip.ZoneRank, Peers: v, StartFromPeers: v.startsFromPeers(),
 		Significant: c.Decoder.Significant, Logger: c.Logger,
 	})
 	v.server = ingress.New(ingress.Config{
--- a/internal/fleet/entry/peerstate.go
+++ b/internal/fleet/entry/peerstate.go
@@ -28,6 +28,12 @@
 	maxPeersAsked = 3
 	// maxStateWait bounds how long a VM lets a call wait until it has read far enough.
 	maxStateWait = 2 * time.Second
+	// startWait is how long a VM that starts waits for a seed that has not loaded its state
+	// yet.
+	startWait = 300 * time.Millisecond
+	// freshProof is the age up to which another VM's proof that its state is complete is
+	// as good as a read of the store.
+	freshProof = 1500 * time.Millisecond
 	// packThreshold is the size of the records of a state in bytes from which they are
 	// compressed. A configuration shrinks to about a tenth, and some VMs have links of
 	// 10 Mbit/s.
@@ -164,8 +170,9 @@
 
 // State asks up to maxPeersAsked other VMs in turn and returns the first state that
 // covers the topic up to q.MinNext. A VM that has just started knows no such offset. It
-// takes the newest state of all that it asks, since one of the VMs may be cut off and still
-// hold a key that was withdrawn or an instance that has left. It implements feed.Peers.
+// takes a state that the store confirmed just now, or else the newest state of all that it
+// asks, since one of the VMs may be cut off and still hold a key that was withdrawn or an
+// instance that has left. It implements feed.Peers.
 func (v *VM) State(ctx context.Context, q feed.Query) (feed.State, error) {
 	var newest feed.State
 	asked := 0
@@ -179,7 +186,7 @@
 			v.config.Logger.Debug("another VM did not return the needed state", zap.Stringer("address", address), zap.Int64("next", s.Next), zap.Error(err))
 			continue
 		}
-		if q.MinNext > 0 {
+		if q.MinNext > 0 || s.Age > 0 && s.Age < freshProof {
 			return s, nil
 		}
 		if s.Next > newest.Next {
@@ -194,12 +201,29 @@
 
 // peersToAsk returns the addresses of the VMs to ask for a state, in this order.
 func (v *VM) peersToAsk(q feed.Query) []netip.AddrPort {
-	if q.Spread {
+	switch {
+	case q.Spread:
 		return v.spreadPeers(q.Topic)
+	case q.Start:
+		return v.startPeers(q)
 	}
 	return v.anyPeers(q)
 }
 
+// startPeers returns the seeds in random order, and then other VMs. The seeds are the
+// first to load their state, since they do not ask each other.
+func (v *VM) startPeers(q feed.Query) []netip.AddrPort {
+	seeds := slices.Clone(v.config.Seeds)
+	rand.Shuffle(len(seeds), func(i, j int) { seeds[i], seeds[j] = seeds[j], seeds[i] })
+	return append(seeds, v.anyPeers(q)...)
+}
+
+// startsFromPeers reports whether this VM asks other VMs for its first state: if there are
+// seeds and it is none of them.
+func (v *VM) startsFromPeers() bool {
+	return len(v.config.Seeds) > 0 && !slices.Contains(v.config.Seeds, v.config.FleetAddress)
+}
+
 // spreadPeers returns the addresses of the VMs of the own zone from which this VM gets a
 // large record.
 func (v *VM) spreadPeers(t feed.Topic) []netip.AddrPort {
@@ -238,9 +262,12 @@
 func askState(ctx context.Context, address netip.AddrPort, q feed.Query) (feed.State, error) {
 	p := stateParams{Topic: q.Topic, From: q.From, MinNext: q.MinNext, Unpacks: true}
 	timeout := askTimeout
-	if deadline, ok := ctx.Deadline(); ok && q.Spread {
+	switch deadline, ok := ctx.Deadline(); {
+	case ok && q.Spread:
 		timeout = time.Until(deadline)
 		p.Wait = timeout
+	case q.Start:
+		p.Wait = startWait
 	}
 	var result stateResult
 	if err := callVM(ctx, address, timeout, stateMethod, p, &result); err != nil {
--- a/internal/fleet/feed/feed.go
+++ b/internal/fleet/feed/feed.go
@@ -149,6 +149,9 @@
 	// Peers asks other VMs for records that this VM lacks. If it is nil, this VM gets
 	// records only from the store and from announcements.
 	Peers Peers
+	// StartFromPeers makes this VM ask other VMs before the store when it starts, so that
+	// the calls to the store do not follow the number of VMs that start together.
+	StartFromPeers bool
 	// ZoneRank returns the number of VMs of this VM's zone that rank before it for a
 	// name. If it is nil, this VM has rank 0.
 	ZoneRank func(name string) int
--- a/internal/fleet/feed/message.go
+++ b/internal/fleet/feed/message.go
@@ -18,6 +18,8 @@
 	// other zones are not asked: traffic between zones costs more than a call to the
 	// store.
 	Spread bool
+	// Start reports that the VM has just started and knows no offset.
+	Start bool
 }
 
 // State is a VM's copy of a topic: the newest record of each key, either from an
--- a/internal/fleet/feed/run.go
+++ b/internal/fleet/feed/run.go
@@ -83,8 +83,8 @@
 	return !state.loaded || state.announcedNext > state.next
 }
 
-// catchUp brings the topic up to date and reports whether that succeeded. A VM that is
-// behind asks the other VMs first if the missing records are few and small, as those of
+// catchUp brings the topic up to date and reports whether that succeeded. A VM that has
+// just started asks the other VMs first if StartFromPeers is set. A VM that is behind asks the other VMs first if the missing records are few and small, as those of
 // Instances are, or if it is not one of its zone's readers. If its last read of the store
 // failed, it asks the store and the other VMs at the same time.
 func (f *Feed) catchUp(ctx context.Context, t Topic) bool {
@@ -98,7 +98,7 @@
 		return f.readStore(ctx, t)
 	case storeFailed:
 		return f.askAll(ctx, t)
-	case loaded && (t == Instances || !f.isZoneReader(t)):
+	case !loaded && f.config.StartFromPeers, loaded && (t == Instances || !f.isZoneReader(t)):
 		return f.askPeers(ctx, t) || f.readStore(ctx, t)
 	default:
 		return f.readStore(ctx, t) || f.askPeers(ctx, t)
@@ -263,7 +263,7 @@
 	}
 	f.mu.Lock()
 	state := &f.topics[t]
-	q := Query{Topic: t, From: state.next, MinNext: state.announcedNext, AnnouncedBy: state.announcedBy, Spread: t == Configuration && state.loaded && !state.lastReadFailed}
+	q := Query{Topic: t, From: state.next, MinNext: state.announcedNext, AnnouncedBy: state.announcedBy, Spread: t == Configuration && state.loaded && !state.lastReadFailed, Start: !state.loaded}
 	f.mu.Unlock()
 	timeout := callTimeout
 	if q.Spread {
