--- a/internal/fleet/entry/control.go
+++ b/internal/fleet/entry/control.go
@@ -20,9 +20,8 @@
 	// membersMethod is the call that returns the members that a VM knows, itself
 	// included.
 	membersMethod = "gossip.members"
-	// controlTimeout bounds the life of a connection accepted from another VM, the calls
-	// to the store for the list of VMs, and the time to receive the headers of a
-	// readiness or metrics request.
+	// controlTimeout bounds the life of a connection accepted from another VM and the time
+	// to receive the headers of a readiness or metrics request.
 	controlTimeout = 2 * time.Second
 	// dialTimeout bounds the time to connect to another VM.
 	dialTimeout = 150 * time.Millisecond
@@ -30,6 +29,9 @@
 	askTimeout = 400 * time.Millisecond
 	// maxControlConns bounds the concurrent connections accepted from other VMs.
 	maxControlConns = 64
+	// membersTimeout bounds the calls to the store for the list of VMs, which has a page for
+	// some hundreds of them.
+	membersTimeout = 5 * time.Second
 	// registerPeriod is the interval at which a VM reads the store's list of VMs and
 	// registers itself again if its entry is missing.
 	registerPeriod = time.Minute
@@ -169,7 +171,7 @@
 // same time at least one finds the other in the list. A VM that has registered before
 // does so again only if its entry is missing from the list.
 func (v *VM) checkRegistered(ctx context.Context, registered bool) error {
-	ctx, cancel := context.WithTimeout(ctx, controlTimeout)
+	ctx, cancel := context.WithTimeout(ctx, membersTimeout)
 	defer cancel()
 	self := v.self()
 	if !registered {
--- a/internal/fleet/feed/feed.go
+++ b/internal/fleet/feed/feed.go
@@ -105,6 +105,8 @@
 	// readTimeout bounds one read of the store. A slow store takes a few hundred
 	// milliseconds, and a large configuration as much on a link of 10 Mbit/s.
 	readTimeout = 1500 * time.Millisecond
+	// listTimeout bounds a listing of an entire topic, which takes a call for each page.
+	listTimeout = 4 * time.Second
 	// retryDelay is the pause after a failed read.
 	retryDelay = 250 * time.Millisecond
 	// maxAnnounceBytes bounds the encoded size of the records in one announcement.
--- a/internal/fleet/feed/run.go
+++ b/internal/fleet/feed/run.go
@@ -84,7 +84,8 @@
 }
 
 // catchUp brings the topic up to date and reports whether that succeeded. A VM that has
-// just started asks the other VMs first if StartFromPeers is set. A VM that is behind asks the other VMs first if the missing records are few and small, as those of
+// just started asks the store and the other VMs at the same time, or the other VMs first
+// if StartFromPeers is set. A VM that is behind asks the other VMs first if the missing records are few and small, as those of
 // Instances are, or if it is not one of its zone's readers. If its last read of the store
 // failed, it asks the store and the other VMs at the same time.
 func (f *Feed) catchUp(ctx context.Context, t Topic) bool {
@@ -98,7 +99,11 @@
 		return f.readStore(ctx, t)
 	case storeFailed:
 		return f.askAll(ctx, t)
-	case !loaded && f.config.StartFromPeers, loaded && (t == Instances || !f.isZoneReader(t)):
+	case !loaded && !f.config.StartFromPeers:
+		return f.askAll(ctx, t)
+	case !loaded:
+		return f.askPeers(ctx, t) || f.askAll(ctx, t)
+	case t == Instances || !f.isZoneReader(t):
 		return f.askPeers(ctx, t) || f.readStore(ctx, t)
 	default:
 		return f.readStore(ctx, t) || f.askPeers(ctx, t)
@@ -134,12 +139,12 @@
 // readStore brings the topic up to date from the store, announces the result and reports
 // whether the store answered.
 func (f *Feed) readStore(parent context.Context, t Topic) bool {
-	ctx, cancel := context.WithTimeout(parent, readTimeout)
-	defer cancel()
 	f.mu.Lock()
 	from, loaded := f.topics[t].next, f.topics[t].loaded
 	f.reads++
 	f.mu.Unlock()
+	ctx, cancel := context.WithTimeout(parent, readTimeout)
+	defer cancel()
 	began := time.Now()
 	var records []Record
 	var next int64
@@ -150,6 +155,8 @@
 	fullListing := false
 	if errors.Is(err, ErrExpired) {
 		fullListing = true
+		ctx, cancel := context.WithTimeout(parent, listTimeout)
+		defer cancel()
 		records, next, err = f.config.Source.Newest(ctx, t)
 	}
 	if err != nil {
--- a/internal/traffic/gateway/fake_test.go
+++ b/internal/traffic/gateway/fake_test.go
@@ -211,7 +211,9 @@
 	var mu sync.Mutex
 	var group errgroup.Group
 	open := make(map[net.Conn]bool)
+	accepted := make(chan struct{}) // closed when no further connection is accepted
 	serve(t, func() error {
+		defer close(accepted)
 		for {
 			c, err := l.Accept()
 			if err != nil {
@@ -228,6 +230,7 @@
 		}
 	}, func() {
 		l.Close()
+		<-accepted
 		mu.Lock()
 		for c := range open {
 			c.Close()
