--- a/cmd/chestnutbay/capacity_test.go
+++ b/cmd/chestnutbay/capacity_test.go
@@ -93,7 +93,7 @@
 }
 
 // BenchmarkControl measures the control traffic and resources of a node in an idle
-// fleet, for the slopes of docs/CAPACITY.md. It runs one fleet of processes for
+// fleet, for the slopes of docs/capacity-nodes.md. It runs one fleet of processes for
 // each size.
 func BenchmarkControl(b *testing.B) {
 	for _, size := range []int{2, 6, 12, 24, 48} {
@@ -141,7 +141,7 @@
 
 // BenchmarkRequests measures the resources that a request takes on a node, including
 // the control messages for its token and its permit, for the slopes of
-// docs/CAPACITY.md.
+// docs/capacity-nodes.md.
 func BenchmarkRequests(b *testing.B) {
 	f := newFleet(b, 6)
 	for _, zone := range []string{"north", "south", "east"} {
--- a/internal/contract/ledger/slope_test.go
+++ b/internal/contract/ledger/slope_test.go
@@ -38,7 +38,7 @@
 }
 
 // BenchmarkApply reports the time to apply a contract's record and the memory
-// that the ledger takes for it, for docs/CAPACITY.md.
+// that the ledger takes for it, for docs/capacity-nodes.md.
 func BenchmarkApply(b *testing.B) {
 	for _, n := range sizes {
 		b.Run(fmt.Sprintf("contracts=%d", n), func(b *testing.B) {
