gossip: late datagrams of a run that has ended are dropped

Found while reading the change: a bundle delivers a datagram up to 50 ms after it was sent, so that a VM could become a member again right after it had announced its stop, and count as absent for 20 s, which lowers every VM's share of the rates and leaves cold instances without an owner; and a datagram of an earlier run would have made the counts of a VM begin anew. The last run that ended of each VM is remembered for 20 s. TestLateBundle (ten VMs that leave within 10 ms of a report) fails before.

--- a/internal/fleet/feed/run.go
+++ b/internal/fleet/feed/run.go
@@ -85,9 +85,10 @@
 
 // catchUp brings the topic up to date and reports whether that succeeded. A VM that has
 // just started asks the store and the other VMs at the same time, or the other VMs first
-// if StartFromPeers is set. A VM that is behind asks the other VMs first if the missing records are few and small, as those of
-// Instances are, or if it is not one of its zone's readers. If its last read of the store
-// failed, it asks the store and the other VMs at the same time.
+// if StartFromPeers is set. A VM that is behind asks the other VMs first if the missing
+// records are few and small, as those of Instances are, or if it is not one of its zone's
+// readers. If its last read of the store failed, it asks the store and the other VMs at
+// the same time.
 func (f *Feed) catchUp(ctx context.Context, t Topic) bool {
 	f.mu.Lock()
 	state := &f.topics[t]
--- a/internal/fleet/gossip/bundle_test.go
+++ b/internal/fleet/gossip/bundle_test.go
@@ -175,6 +175,30 @@
 	})
 }
 
+// TestLateBundle guards against a VM that becomes a member again after it has left, or
+// whose counts begin anew after its restart, because a bundle delivers what it sent before.
+func TestLateBundle(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFleet(2, 20)
+		defer f.stop()
+		time.Sleep(3 * time.Second)
+		const leaving = 10
+		for _, v := range f.vms[5 : 5+leaving] {
+			v.gossip.RequestSend(false)
+			time.Sleep(250 * time.Millisecond)
+			v.gossip.RequestSend(false)
+			time.Sleep(10 * time.Millisecond) // the collector has it, and the bundle is not sent yet
+			v.gossip.Leave()
+			v.cancel()
+		}
+		time.Sleep(time.Second)
+		for _, v := range append(f.vms[:5:5], f.vms[5+leaving:]...) {
+			is.Equal(v.gossip.Size(), len(f.vms)-leaving)
+		}
+	})
+}
+
 // BenchmarkFleet reports the datagrams that each VM sends and receives a second while all
 // VMs have reports of 200 bytes to send, in virtual time.
 func BenchmarkFleet(b *testing.B) {
--- a/internal/fleet/gossip/gossip.go
+++ b/internal/fleet/gossip/gossip.go
@@ -136,6 +136,7 @@
 	heard    float64   // the share of heard VMs as of heardAt
 	heardAt  time.Time // see Heard
 
+	ended       map[string]endedRun // the last run that ended of each VM, for memberTimeout
 	bundle      bundle
 	bundleBegun chan struct{} // receives when the bundle gets its first part
 	collection  collection
--- a/internal/fleet/gossip/member.go
+++ b/internal/fleet/gossip/member.go
@@ -81,10 +81,26 @@
 }
 
 // removeMember removes a VM that has announced its stop.
-func (g *Gossip) removeMember(name string) {
+func (g *Gossip) removeMember(name string, incarnation uint64) {
 	g.mu.Lock()
+	defer g.mu.Unlock()
 	delete(g.members, name)
-	g.mu.Unlock()
+	g.recordEnd(name, incarnation, time.Now())
+}
+
+// endedRun is a run of a VM's process that has ended.
+type endedRun struct {
+	incarnation uint64
+	at          time.Time
+}
+
+// recordEnd records that a run of a VM's process has ended, so that its late datagrams
+// are dropped. The caller holds the lock.
+func (g *Gossip) recordEnd(name string, incarnation uint64, now time.Time) {
+	if g.ended == nil {
+		g.ended = make(map[string]endedRun)
+	}
+	g.ended[name] = endedRun{incarnation: incarnation, at: now}
 }
 
 // neighborsExcept returns the members of the own zone other than this VM and the named
@@ -126,6 +142,11 @@
 			removed = append(removed, name)
 		}
 	}
+	for name, run := range g.ended {
+		if now.Sub(run.at) > memberTimeout {
+			delete(g.ended, name)
+		}
+	}
 	g.mu.Unlock()
 	for _, name := range removed {
 		g.config.Logger.Info("VM is no longer a member", zap.String("other", name), zap.Duration("silent", memberTimeout))
--- a/internal/fleet/gossip/receive.go
+++ b/internal/fleet/gossip/receive.go
@@ -85,7 +85,7 @@
 		return false
 	}
 	if e.Leaving {
-		g.removeMember(e.From.Name)
+		g.removeMember(e.From.Name, e.Incarnation)
 	} else {
 		g.config.Receive(Sender{Name: e.From.Name, Incarnation: e.Incarnation, Baseline: baseline}, e.Payload)
 	}
@@ -98,14 +98,22 @@
 func (g *Gossip) accept(e *envelope) (fresh, baseline bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	now := time.Now()
 	p := g.members[e.From.Name]
+	if g.ended[e.From.Name].incarnation == e.Incarnation {
+		// A bundle or a relay delivers it after the sender has left or started again.
+		g.stats.Duplicates++
+		return false, false
+	}
 	if p == nil {
-		p = &peer{added: time.Now()}
+		p = &peer{added: now}
 		g.members[e.From.Name] = p
 	}
 	p.member = e.From
-	now := time.Now()
 	if p.incarnation != e.Incarnation {
+		if p.incarnation != 0 {
+			g.recordEnd(e.From.Name, p.incarnation, now)
+		}
 		p.incarnation, p.highestSequence, p.receivedBits = e.Incarnation, 0, 0
 		p.firstHeard, p.hasBaseline = now, e.Age > min(now.Sub(g.start), baselinePeriod)
 	}
