gossip: several datagrams of one round may travel in bundles

A round with more reports than fit one datagram was sent directly, since the datagrams could arrive in another order by way of different bundles, and a late one is dropped. Datagrams now carry the number of their round; a late one of the same round is delivered, since a round reports each thing once.

--- a/internal/fleet/gossip/bundle_test.go
+++ b/internal/fleet/gossip/bundle_test.go
@@ -199,6 +199,37 @@
 	})
 }
 
+// TestPayloadsOfOneRound guards against reports that are dropped because the datagrams of
+// one round, which travel in different bundles, arrive in another order.
+func TestPayloadsOfOneRound(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFleet(2, 20)
+		defer f.stop()
+		time.Sleep(3 * time.Second)
+		from := f.vms[3]
+		from.mu.Lock()
+		for part := range 5 {
+			from.parts = append(from.parts, []byte(fmt.Sprintf("%d %01000d", part, 1)))
+		}
+		from.mu.Unlock()
+		for range 20 {
+			from.gossip.RequestSend(false)
+			time.Sleep(200 * time.Millisecond)
+		}
+		for _, v := range f.vms {
+			if v == from {
+				continue
+			}
+			v.mu.Lock()
+			for part := range 5 {
+				is.Equal(v.partsReceived[byte('0'+part)], 20)
+			}
+			v.mu.Unlock()
+		}
+	})
+}
+
 // BenchmarkFleet reports the datagrams that each VM sends and receives a second while all
 // VMs have reports of 200 bytes to send, in virtual time.
 func BenchmarkFleet(b *testing.B) {
--- a/internal/fleet/gossip/gossip.go
+++ b/internal/fleet/gossip/gossip.go
@@ -120,6 +120,9 @@
 	Parts []cbor.RawMessage `cbor:"9,keyasint,omitempty"`
 	// Spread asks the receiver to send the bundle to the other VMs of its zone.
 	Spread bool `cbor:"10,keyasint,omitempty"`
+	// Round numbers the calls of Compose. The payloads of one call have no report of the
+	// same thing, so that their order does not matter.
+	Round uint64 `cbor:"11,keyasint,omitempty"`
 }
 
 // Gossip sends and receives reports. It is safe for concurrent use.
@@ -132,6 +135,7 @@
 	members  map[string]*peer
 	listed   bool // whether AddMembers was called, so that the platform's list of VMs is known
 	sequence uint64
+	round    uint64 // of the last call of Compose
 	stats    Stats
 	heard    float64   // the share of heard VMs as of heardAt
 	heardAt  time.Time // see Heard
@@ -219,11 +223,9 @@
 		}
 		last = time.Now()
 		g.sendUnechoed()
-		payloads := g.config.Compose()
-		for _, payload := range payloads {
-			// Several payloads could arrive in another order by way of collectors, and a
-			// datagram that arrives after a later one is dropped.
-			if urgent || len(payloads) > 1 || !g.collect(payload) {
+		g.beginRound()
+		for _, payload := range g.config.Compose() {
+			if urgent || !g.collect(payload) {
 				g.broadcast(payload, false)
 			}
 		}
@@ -233,6 +235,13 @@
 	}
 }
 
+// beginRound gives the next envelopes a round of their own.
+func (g *Gossip) beginRound() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.round++
+}
+
 // waitForGap waits until the shortest interval since the last datagram has passed. An
 // urgent request that arrives during the wait shortens the interval to urgentGap. It
 // returns whether there is an urgent request, and false as ok if ctx ends first.
@@ -295,7 +304,7 @@
 // lock.
 func (g *Gossip) newEnvelope(payload []byte) *envelope {
 	g.sequence++
-	return &envelope{From: g.config.Self, Incarnation: g.config.Incarnation, Sequence: g.sequence, Payload: payload, Age: time.Since(g.start)}
+	return &envelope{From: g.config.Self, Incarnation: g.config.Incarnation, Sequence: g.sequence, Round: g.round, Payload: payload, Age: time.Since(g.start)}
 }
 
 // sendTo encodes an envelope and sends it to members.
--- a/internal/fleet/gossip/gossip_test.go
+++ b/internal/fleet/gossip/gossip_test.go
@@ -76,10 +76,13 @@
 	gossip *gossip.Gossip
 	cancel context.CancelFunc
 
-	mu       sync.Mutex
-	payload  []byte            // payload to send
-	received map[string]string // latest payload of each VM
-	timedOut []string          // VMs removed after a long silence
+	mu      sync.Mutex
+	payload []byte   // payload to send
+	parts   [][]byte // payloads to send instead, if any
+	// partsReceived counts the received parts by their first byte.
+	partsReceived map[byte]int
+	received      map[string]string // latest payload of each VM
+	timedOut      []string          // VMs removed after a long silence
 	// baseline reports for each VM whether its latest counts were marked as a baseline.
 	baseline map[string]bool
 }
@@ -142,18 +145,24 @@
 	f.net.ports[address.String()] = p
 	f.net.zones[address.String()] = zone
 	f.net.mu.Unlock()
-	v := &vm{member: gossip.Member{Name: fmt.Sprintf("vm-%d", i), Zone: zone, Address: address}, received: make(map[string]string), baseline: make(map[string]bool)}
+	v := &vm{member: gossip.Member{Name: fmt.Sprintf("vm-%d", i), Zone: zone, Address: address}, received: make(map[string]string), partsReceived: make(map[byte]int), baseline: make(map[string]bool)}
 	v.gossip = gossip.New(gossip.Config{
 		Self: v.member, Incarnation: incarnation, Conn: p,
 		Compose: func() [][]byte {
 			v.mu.Lock()
 			defer v.mu.Unlock()
+			if len(v.parts) > 0 {
+				return v.parts
+			}
 			return [][]byte{v.payload}
 		},
 		Receive: func(from gossip.Sender, b []byte) {
 			v.mu.Lock()
 			defer v.mu.Unlock()
 			v.received[from.Name] = string(b)
+			if len(b) > 0 {
+				v.partsReceived[b[0]]++
+			}
 			v.baseline[from.Name] = from.Baseline
 		},
 		MemberTimedOut: func(name string) {
--- a/internal/fleet/gossip/member.go
+++ b/internal/fleet/gossip/member.go
@@ -17,6 +17,7 @@
 	hasBaseline     bool      // its counts may include events from before this VM could receive them
 	highestSequence uint64    // highest sequence number received
 	receivedBits    uint64    // bit n is set if sequence number highestSequence-n was received
+	round           uint64    // of the datagram with the highest sequence number
 }
 
 // AddMembers adds the VMs of the platform's list to the members. The list may include
@@ -115,12 +116,13 @@
 	return list
 }
 
-// recordSequence records a received sequence number and reports whether it is higher
-// than all earlier ones.
-func (p *peer) recordSequence(sequence uint64) bool {
+// recordSequence records a received sequence number, and reports whether the datagram is
+// to be delivered: if its number is higher than all earlier ones, or if it belongs to the
+// same round as the highest one and was not received before.
+func (p *peer) recordSequence(sequence, round uint64) bool {
 	if sequence > p.highestSequence {
 		p.receivedBits = p.receivedBits<<(sequence-p.highestSequence) | 1
-		p.highestSequence = sequence
+		p.highestSequence, p.round = sequence, round
 		return true
 	}
 	age := p.highestSequence - sequence
@@ -128,8 +130,8 @@
 		return false
 	}
 	p.receivedBits |= 1 << age
-	// Reports hold running counts, so one that arrives after a later one adds nothing.
-	return false
+	// Reports hold running counts, so one of an earlier round adds nothing.
+	return round != 0 && round == p.round
 }
 
 // removeSilent removes the VMs that have been silent for longer than memberTimeout.
--- a/internal/fleet/gossip/receive.go
+++ b/internal/fleet/gossip/receive.go
@@ -114,10 +114,10 @@
 		if p.incarnation != 0 {
 			g.recordEnd(e.From.Name, p.incarnation, now)
 		}
-		p.incarnation, p.highestSequence, p.receivedBits = e.Incarnation, 0, 0
+		p.incarnation, p.highestSequence, p.receivedBits, p.round = e.Incarnation, 0, 0, 0
 		p.firstHeard, p.hasBaseline = now, e.Age > min(now.Sub(g.start), baselinePeriod)
 	}
-	if !p.recordSequence(e.Sequence) {
+	if !p.recordSequence(e.Sequence, e.Round) {
 		g.stats.Duplicates++
 		return false, false
 	}
