--- a/internal/fleet/entry/control.go
+++ b/internal/fleet/entry/control.go
@@ -90,7 +90,7 @@
 	case membersMethod:
 		return v.handleMembers()
 	}
-	return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeMethodNotFound, Message: "unknown method " + cut(r.Method)}
+	return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeMethodNotFound, Message: "unknown method " + truncate(r.Method)}
 }
 
 // handleMembers returns the members that this VM knows, if it has read the list of VMs.
--- a/internal/fleet/entry/entry.go
+++ b/internal/fleet/entry/entry.go
@@ -180,7 +180,7 @@
 	})
 	v.server = ingress.New(ingress.Config{
 		Table: v.table.Load, Balancer: v.balancer, Quota: v.quota, RetryBudget: v.budget, Headers: c.Headers,
-		Left: v.departures.Record, VMs: v.gossip.Size, Metrics: ingress.NewMetrics(v.registry), Logger: c.Logger,
+		Departed: v.departures.Record, VMs: v.gossip.Size, Metrics: ingress.NewMetrics(v.registry), Logger: c.Logger,
 	})
 	v.gracePeriod.Store(int64(c.GracePeriod))
 	v.registerMetrics()
--- a/internal/fleet/entry/refusal.go
+++ b/internal/fleet/entry/refusal.go
@@ -57,12 +57,12 @@
 	if !v.refusals.add(recordKey{t, r.Key}) {
 		return
 	}
-	v.config.Logger.Warn("record cannot be used", zap.Stringer("topic", t), zap.String("key", cut(r.Key)), zap.Int64("offset", r.Offset),
-		zap.Int("bytes", len(r.Value)), zap.String("why", cut(reason)))
+	v.config.Logger.Warn("record cannot be used", zap.Stringer("topic", t), zap.String("key", truncate(r.Key)), zap.Int64("offset", r.Offset),
+		zap.Int("bytes", len(r.Value)), zap.String("why", truncate(reason)))
 }
 
-// cut returns the first maxRefusalText bytes of s, with bytes that are not UTF-8
+// truncate returns the first maxRefusalText bytes of s, with bytes that are not UTF-8
 // replaced.
-func cut(s string) string {
+func truncate(s string) string {
 	return strings.ToValidUTF8(s[:min(len(s), maxRefusalText)], "\ufffd")
 }
--- a/internal/traffic/ingress/fake_test.go
+++ b/internal/traffic/ingress/fake_test.go
@@ -217,7 +217,7 @@
 	b.server = ingress.New(ingress.Config{
 		Table: b.currentTable, Balancer: balancer.New(balancer.Config{Directory: &d, Zone: "north"}),
 		Quota: quota.New(quota.Config{}), RetryBudget: retry.NewFleetBudget(retry.FleetConfig{Ratio: 0.2, Slack: 64, FirstStart: true}), Headers: headers,
-		Left: departure.New(departure.Config{Directory: &d}).Record,
+		Departed: departure.New(departure.Config{Directory: &d}).Record,
 	})
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	is.New(t).NoErr(err)
--- a/internal/traffic/ingress/forward.go
+++ b/internal/traffic/ingress/forward.go
@@ -180,8 +180,8 @@
 // with status 421 comes from another instance.
 func (x *exchange) noteLeaving(a *attempt) {
 	leaving := a.upstream.Header(x.server.config.Headers.Leaving) == leavingValue
-	if leaving && a.upstream.Status() != http.StatusMisdirectedRequest && x.server.config.Left != nil {
-		x.server.config.Left(a.choice.Instance())
+	if leaving && a.upstream.Status() != http.StatusMisdirectedRequest && x.server.config.Departed != nil {
+		x.server.config.Departed(a.choice.Instance())
 	}
 }
 
--- a/internal/traffic/ingress/ingress.go
+++ b/internal/traffic/ingress/ingress.go
@@ -64,9 +64,9 @@
 	Quota       *quota.Quota
 	RetryBudget *retry.FleetBudget
 	Headers     Headers
-	// Left is called with each instance whose response said that it is leaving. It may
+	// Departed is called with each instance whose response said that it is leaving. It may
 	// be nil.
-	Left func(i *directory.Instance)
+	Departed func(i *directory.Instance)
 	// VMs returns the number of VMs that share an instance's connection limit. The
 	// default is 1.
 	VMs     func() int
