--- a/review/stand/early.go
+++ b/review/stand/early.go
@@ -30,7 +30,7 @@
 // an order to an instance of another service on each connection that stays open.
 func earlyAnswer(program string, trouble bool) (*record, error) {
 	var rejecting atomic.Bool
-	w, err := newWorld(program, 1, func(i *instance) {
+	w, err := newWorld(program, 1, false, func(i *instance) {
 		i.quiet = true
 		if i.service == uploadService && i.id <= fmt.Sprintf("i-%d", earlyInstances) {
 			i.rejectsAt = func(length int64) (int64, bool) {
--- a/review/stand/fleet.go
+++ b/review/stand/fleet.go
@@ -62,8 +62,10 @@
 	program        string
 	dir            string
 	record         *record
-	// core is the core on which the VM runs. The platform gives a machine one core.
-	core int
+	// oneCore makes the VM run on one core, the one with the number core. The platform gives
+	// a machine one core, or shows it several on some days.
+	oneCore bool
+	core    int
 
 	command *exec.Cmd
 	exited  chan struct{}
@@ -84,7 +86,11 @@
 	c := exec.Command(v.program, "entry")
 	c.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), "CHESTNUTBAY_SETTINGS=" + path}
 	c.Stdout, c.Stderr = log, log
-	if err := startOnCore(c, v.core); err != nil {
+	start := c.Start
+	if v.oneCore {
+		start = func() error { return startOnCore(c, v.core) }
+	}
+	if err := start(); err != nil {
 		return err
 	}
 	exited := make(chan struct{})
--- a/review/stand/load.go
+++ b/review/stand/load.go
@@ -55,7 +55,7 @@
 // stopUnderLoad stops two of a zone's three VMs as planned while many clients send orders.
 // Since fewer than half of the zone's VMs are in rotation, the platform goes on using all.
 func stopUnderLoad(program string, trouble bool) (*record, error) {
-	w, err := newWorld(program, loadVMs, func(i *instance) { i.quiet = true })
+	w, err := newWorld(program, loadVMs, true, func(i *instance) { i.quiet = true })
 	defer w.close()
 	if err != nil {
 		return w.record, err
--- a/review/stand/stop.go
+++ b/review/stand/stop.go
@@ -12,7 +12,7 @@
 // secondSIGTERM stops a VM as planned while requests are in progress, and sends the
 // SIGTERM a second time while the VM finishes them.
 func secondSIGTERM(program string, trouble bool) (*record, error) {
-	w, err := newWorld(program, 1, nil)
+	w, err := newWorld(program, 1, true, nil)
 	defer w.close()
 	if err != nil {
 		return w.record, err
--- a/review/stand/world.go
+++ b/review/stand/world.go
@@ -33,9 +33,9 @@
 var services = []string{uploadService, uploadService, uploadService, orderService, orderService, orderService}
 
 // newWorld starts the store, three instances of each service, and VMs, and waits until
-// the VMs are ready. prepare, which may be nil, is called for each instance before it
-// starts.
-func newWorld(program string, vms int, prepare func(i *instance)) (*world, error) {
+// the VMs are ready. With oneCore each VM runs on a core of its own, otherwise on any. prepare,
+// which may be nil, is called for each instance before it starts.
+func newWorld(program string, vms int, oneCore bool, prepare func(i *instance)) (*world, error) {
 	w := &world{record: newRecord()}
 	var err error
 	if w.network, err = claimNetwork(); err != nil {
@@ -62,7 +62,7 @@
 	for n := range vms {
 		v := &vm{
 			name: fmt.Sprintf("front-grand-rapids-%d", n+1), ip: w.network.ip(n + 1), zone: "grand-rapids",
-			network: w.network, store: w.store.address, program: program, dir: w.dir, record: w.record, core: n,
+			network: w.network, store: w.store.address, program: program, dir: w.dir, record: w.record, oneCore: oneCore, core: n,
 		}
 		w.vms = append(w.vms, v)
 		if err := v.start(true); err != nil {
