--- a/review/stand/load.go
+++ b/review/stand/load.go
@@ -21,6 +21,10 @@
 	// the one that is not. A VM may have 4,100 descriptors.
 	clientsAtStopped = 2600
 	clientsAtOther   = 400
+	// minClients is how many of them the case needs.
+	minClients = 1500
+	// otherDescriptors is how many descriptors this process needs besides these clients'.
+	otherDescriptors = 2500
 	orderBytes       = 300
 	// stops is how often the VMs are stopped and started again.
 	stops = 3
@@ -60,6 +64,9 @@
 	if err != nil {
 		return w.record, err
 	}
+	if clientsPerVM() < minClients {
+		return w.record, errors.New("this process may open too few descriptors")
+	}
 	lost := 0
 	for n := range stops {
 		lost += w.stopOnce(n+1, trouble)
@@ -84,6 +91,16 @@
 	return w.record, nil
 }
 
+// clientsPerVM returns the clients of each VM that is stopped: fewer where this process may
+// not open as many descriptors.
+func clientsPerVM() int {
+	var limit syscall.Rlimit
+	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &limit); err != nil {
+		return clientsAtStopped
+	}
+	return int(max(min(limit.Cur, otherDescriptors+stoppedVMs*clientsAtStopped)-otherDescriptors, stoppedVMs)) / stoppedVMs
+}
+
 // stopOnce stops VMs once under load, and returns how many orders broke the rule.
 func (w *world) stopOnce(n int, trouble bool) int {
 	began := time.Now()
@@ -91,9 +108,10 @@
 	stop := began.Add(loadBefore)
 	var lost atomic.Int64
 	var group errgroup.Group
-	for k := range stoppedVMs*clientsAtStopped + clientsAtOther {
+	clients := clientsPerVM()
+	for k := range stoppedVMs*clients + clientsAtOther {
 		group.Go(func() error {
-			l := loadClient{world: w, vm: min(k/clientsAtStopped, loadVMs-1), name: fmt.Sprintf("%d-%d", n, k), ends: ends}
+			l := loadClient{world: w, vm: min(k/clients, loadVMs-1), name: fmt.Sprintf("%d-%d", n, k), ends: ends}
 			for time.Now().Before(stop.Add(loadAfter)) {
 				if !l.send() {
 					lost.Add(1)
