feed: log how a topic advances, and failed calls to other VMs

The logs could not tell apart a VM that does not learn that it is behind, one that fails to catch up, and one that has the newest offset without the record: an advance by an announcement or a read left no line, and failed calls to other VMs were logged for debugging only.

For the configuration's topic there is now a line for each advance with its source, offsets and number of records, and one for each failed call to other VMs with its duration; a gauge has the offset, to compare with the version and the age of the proof. The instances' topic advances with every read, so its lines stay debug lines.

--- a/internal/fleet/entry/metrics.go
+++ b/internal/fleet/entry/metrics.go
@@ -28,6 +28,7 @@
 		}
 		return 0
 	})
+	gauge("chestnutbay_configuration_next_offset", "Offset after the last record of the configuration's topic that this VM has read.", func() float64 { return float64(v.feed.Next(feed.Configuration)) })
 	gauge("chestnutbay_configuration_age_seconds", "Age of the proof that the configuration is the newest.", func() float64 { return v.age(feed.Configuration) })
 	gauge("chestnutbay_instances_age_seconds", "Age of the proof that the list of instances is complete.", func() float64 { return v.age(feed.Instances) })
 	gauge("chestnutbay_instances", "Listed target instances.", func() float64 { return float64(v.directory.Size()) })
--- a/internal/fleet/feed/run.go
+++ b/internal/fleet/feed/run.go
@@ -180,6 +180,7 @@
 		f.config.Logger.Info("store answers again", zap.Stringer("topic", t), zap.Duration("proof_age", time.Since(state.verified)))
 	}
 	state.recordProof(began)
+	before := state.next
 	if fullListing {
 		f.replace(t, records, next)
 		// A listing lacks older records and removals. A VM that has read up to an
@@ -189,6 +190,7 @@
 	} else {
 		f.apply(t, records, next)
 	}
+	f.logAdvance("read", t, before, len(records), zap.Int64("read_from", from))
 	if began.After(state.announcedAt) {
 		// The store ends there. A higher offset was announced by mistake.
 		state.announcedNext = min(state.announcedNext, state.next)
@@ -279,9 +281,11 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
+	asked := time.Now()
 	s, err := f.config.Peers.State(ctx, q)
 	if err != nil {
-		f.config.Logger.Debug("no other VM supplied the topic", zap.Stringer("topic", t), zap.Error(err))
+		f.config.Logger.Log(logLevel(t), "no other VM supplied the topic", zap.Stringer("topic", t), zap.Int64("from", q.From),
+			zap.Int64("min_next", q.MinNext), zap.Duration("took", time.Since(asked)), zap.Error(err))
 		return false
 	}
 	received := time.Now()
