--- a/internal/fleet/feed/feed_test.go
+++ b/internal/fleet/feed/feed_test.go
@@ -134,6 +134,8 @@
 	vms []*vm
 	// isolated holds the indexes of VMs that receive no announcements.
 	isolated map[int]bool
+	// cut holds the indexes of VMs that are cut off from all others.
+	cut map[int]bool
 	// random selects the announcements that are lost; if it is nil, none is. loss is
 	// the probability that one receiver does not get an announcement.
 	random *rand.Rand
@@ -172,7 +174,7 @@
 	defer f.mu.Unlock()
 	var list []*vm
 	for i, v := range f.vms {
-		if i != self && !f.isolated[i] {
+		if i != self && !f.isolated[i] && f.cut[i] == f.cut[self] {
 			list = append(list, v)
 		}
 	}
