feed: an announcement covers only what the history reaches

What callers saw: a VM answered by an old configuration (404 for a new route, the old service for a moved one) for seconds, until the next change, though its neighbors had the new one.

Cause: a VM that cannot read the store asks it and the other VMs at the same time. If another VM answers first, this VM's history is emptied, since a state has no steps. If the read of the store ends as well, its records are known and leave no step, and history.since, which found no steps, returned the offset at which the read had begun: the announcement said that it was complete from there, without a record. VMs that had not caught up yet advanced to the newest offset, without the configuration, and did not ask again; they also passed this state on to VMs that asked them.

Change: without steps, an announcement begins at the offset up to which the VM has read. VMs that are further back see that they lack records and ask for them.

--- a/internal/fleet/feed/history.go
+++ b/internal/fleet/feed/history.go
@@ -34,11 +34,12 @@
 	h.steps = h.steps[expired:]
 }
 
-// since returns the content of an announcement: its first offset and the newest changed
-// record of each key from there to the present, ordered by offset. It includes all
-// steps that end after the offset from, and as many earlier steps as announceWindow and
-// maxAnnounceBytes allow.
-func (h *history) since(from int64, now time.Time) (int64, []Record) {
+// since returns the content of an announcement of a topic that was read up to next: its
+// first offset and the newest changed record of each key from there to next, ordered by
+// offset. It includes all steps that end after the offset from, and as many earlier steps as
+// announceWindow and maxAnnounceBytes allow. The first offset is higher than from if the
+// steps do not reach back that far.
+func (h *history) since(from, next int64, now time.Time) (int64, []Record) {
 	size, first := 0, len(h.steps)
 	for first > 0 {
 		s := h.steps[first-1]
@@ -51,7 +52,7 @@
 		first--
 	}
 	if first == len(h.steps) {
-		return from, nil
+		return next, nil
 	}
 	newest := make(map[string]Record)
 	for _, s := range h.steps[first:] {
--- a/internal/fleet/feed/run.go
+++ b/internal/fleet/feed/run.go
@@ -201,7 +201,7 @@
 	f.applyDueRemovals(t, time.Now())
 	state.sweep(time.Now())
 	a := Announcement{Topic: t, Next: state.next, Complete: !fullListing}
-	a.From, a.Records = state.history.since(from, time.Now())
+	a.From, a.Records = state.history.since(from, state.next, time.Now())
 	f.mu.Unlock()
 	if firstLoad {
 		f.config.Logger.Info("topic loaded", zap.Stringer("topic", t), zap.Int("records", len(records)), zap.Int64("next", next))
