feed: a listing does not count as knowledge of earlier removals

What callers would see: requests sent to an instance that has left, or kept from a zone that is back, by all VMs but the one that listed, until the key changes again.

Cause: a VM that is behind after the store has deleted records reads a listing of the topic, which has no removed keys. It announced the end of the listing, the others asked it for the records up to there, and it returned what it had as complete, although it never learned of removals of keys that it had not known.

Change: after a listing, or the whole state of another VM, a VM remembers removals only from its end on. Asked from an earlier offset it returns its whole topic, in which a key without a record does not exist.

Evidence: TestRemovalBeforeListing failed before (five of six VMs kept an instance that had left) and passes now.

--- a/internal/fleet/feed/complete_test.go
+++ b/internal/fleet/feed/complete_test.go
@@ -1,6 +1,7 @@
 package feed_test
 
 import (
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -18,9 +19,23 @@
 	f.mu.Lock()
 	f.cut = cut
 	f.mu.Unlock()
+	f.refuse(vms...)
+}
+
+// refuse makes the store refuse the calls of VMs, or of none.
+func (f *fleet) refuse(vms ...int) {
 	f.store.mu.Lock()
-	f.store.down = func(vm int) bool { return cut[vm] }
-	f.store.mu.Unlock()
+	defer f.store.mu.Unlock()
+	f.store.down = func(vm int) bool { return slices.Contains(vms, vm) }
+}
+
+// forget makes the store delete all records but the newest of each key.
+func (s *store) forget() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for t, records := range s.records {
+		s.first[t] = int64(len(records))
+	}
 }
 
 // TestReturnFromCut guards against a VM that keeps an old configuration after a cut, though
@@ -40,3 +55,25 @@
 		f.expect(t, "config", "2"+largeValue)
 	})
 }
+
+// TestRemovalBeforeListing guards against VMs that keep an instance that has left, because
+// the VM that they asked had listed the topic, so that it never read the removal, and
+// returned its state as complete.
+func TestRemovalBeforeListing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(6)
+		defer f.stop()
+		f.store.put(feed.Instances, "i-1", "ready")
+		time.Sleep(2 * time.Second)
+		f.cutOff(0)
+		f.store.put(feed.Instances, "i-2", "ready")
+		time.Sleep(2 * time.Second)
+		f.store.forget()
+		f.store.put(feed.Instances, "i-1", "")
+		f.store.put(feed.Instances, "i-2", "")
+		f.cutOff()
+		time.Sleep(propagationLimit + time.Second) // vm 0 first holds removals back
+		f.expect(t, "i-1", "")
+		f.expect(t, "i-2", "")
+	})
+}
--- a/internal/fleet/feed/feed.go
+++ b/internal/fleet/feed/feed.go
@@ -408,4 +408,5 @@
 	}
 	slices.SortFunc(records, func(a, b Record) int { return int(a.Offset - b.Offset) })
 	f.apply(t, records, next)
+	state.removalsFrom = max(state.removalsFrom, next) // keys removed before may have been unknown here
 }
