feed: announce a record that a listing held beyond its end

What callers would see: VMs keep sending to an instance that drains, or lack a zone that was taken out, though one VM knows of it.

The next read returns the record again; it was dropped as known, and that read's announcement was complete without it.

Change: a record that is known from a listing counts as a change when a read or announcement passes over its offset.

Evidence: TestListingInPages failed before (five of six VMs lacked the record) and passes now. The stand-in's listings now come in two pages.

--- a/internal/fleet/feed/complete_test.go
+++ b/internal/fleet/feed/complete_test.go
@@ -77,3 +77,19 @@
 		f.expect(t, "i-2", "")
 	})
 }
+
+// TestListingInPages guards against a record that most VMs never get: a listing may hold it
+// beyond the offset at which the listing began, and the VM that listed then announced its
+// next read as complete without it.
+func TestListingInPages(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(6)
+		defer f.stop()
+		time.Sleep(time.Second)
+		f.restart(0)
+		time.Sleep(storeLatency + storeLatency/2) // the first of two pages is read
+		f.store.put(feed.Configuration, "zone", "out")
+		time.Sleep(propagationLimit)
+		f.expect(t, "zone", "out")
+	})
+}
--- a/internal/fleet/feed/feed.go
+++ b/internal/fleet/feed/feed.go
@@ -296,6 +296,11 @@
 	var changes []Record
 	for _, r := range records {
 		previous, known := state.records[r.Key]
+		if known && previous.Offset == r.Offset && r.Offset >= state.next {
+			// A listing held it beyond its end. The other VMs learn of it now.
+			changes = append(changes, r)
+			continue
+		}
 		if known && previous.Offset >= r.Offset || !known && state.loaded && r.Offset < state.next {
 			// Ignore a record that is older than the known one of its key. Also ignore an
 			// old record of an unknown key, because the key may have been removed later
--- a/internal/fleet/feed/feed_test.go
+++ b/internal/fleet/feed/feed_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/hex"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -73,7 +74,22 @@
 	return nil
 }
 
+// pageKey is the first key of the second page of a listing.
+const pageKey = "i-3"
+
+// Newest returns the newest records in two pages, of which the second one may be newer.
 func (c client) Newest(_ context.Context, t feed.Topic) ([]feed.Record, int64, error) {
+	list, end, err := c.page(t, func(key string) bool { return key < pageKey })
+	if err != nil {
+		return nil, 0, err
+	}
+	second, _, err := c.page(t, func(key string) bool { return key >= pageKey })
+	return append(list, second...), end, err
+}
+
+// page returns the newest records of the keys that include accepts, and the end of the
+// topic.
+func (c client) page(t feed.Topic, include func(key string) bool) ([]feed.Record, int64, error) {
 	time.Sleep(storeLatency)
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -83,15 +99,11 @@
 	newest := make(map[string]feed.Record)
 	for _, r := range c.records[t] {
 		newest[r.Key] = r
-		if r.Value == nil {
+		if r.Value == nil || !include(r.Key) {
 			delete(newest, r.Key)
 		}
 	}
-	var list []feed.Record
-	for _, r := range newest {
-		list = append(list, r)
-	}
-	return list, int64(len(c.records[t])), nil
+	return slices.Collect(maps.Values(newest)), int64(len(c.records[t])), nil
 }
 
 func (c client) Read(_ context.Context, t feed.Topic, from int64) ([]feed.Record, int64, error) {
@@ -192,7 +204,23 @@
 
 // start adds a VM, which ranks after all earlier ones, and runs its feed.
 func (f *fleet) start() {
-	i := len(f.vms)
+	v := f.newVM(len(f.vms))
+	f.mu.Lock()
+	f.vms = append(f.vms, v)
+	f.mu.Unlock()
+}
+
+// restart stops a VM and starts it again without its records.
+func (f *fleet) restart(i int) {
+	f.vms[i].cancel()
+	v := f.newVM(i)
+	f.mu.Lock()
+	f.vms[i] = v
+	f.mu.Unlock()
+}
+
+// newVM returns a VM and runs its feed.
+func (f *fleet) newVM(i int) *vm {
 	v := &vm{index: i, values: make(map[string]string)}
 	v.feed = feed.New(feed.Config{
 		Source: client{store: f.store, vm: i},
@@ -211,12 +239,10 @@
 		Peers:       peers{f: f, self: i},
 		Significant: func(_ feed.Topic, before, now []byte) bool { return string(before) != string(now) },
 	})
-	f.mu.Lock()
-	f.vms = append(f.vms, v)
-	f.mu.Unlock()
 	ctx, cancel := context.WithCancel(context.Background())
 	v.cancel = cancel
 	f.group.Go(func() error { return v.feed.Run(ctx) })
+	return v
 }
 
 func (f *fleet) stop() {
