entry: a frozen VM does not use up the time of the others

What callers would see: a configuration in force 2 to 3 s after its acknowledgement on the VMs below a frozen one.

Cause: a large record spreads in a tree in each zone. A VM asks its parent and waits for up to 1.1 s. The VM that ranks first both reads the store for all and is the parent of six VMs of its zone.

Change: before it waits, a VM asks how far the other one has read, which is answered at once, and gives it up after 400 ms without an answer. A VM of an earlier version answers that it does not know the call, which is an answer too.

--- a/internal/fleet/entry/control.go
+++ b/internal/fleet/entry/control.go
@@ -85,6 +85,8 @@
 // handleCall handles a call of another VM and returns its result.
 func (v *VM) handleCall(ctx context.Context, r *jsonrpc2.Request) (any, error) {
 	switch r.Method {
+	case nextMethod:
+		return v.handleNext(r.Params)
 	case stateMethod:
 		return v.handleState(ctx, r.Params)
 	case membersMethod:
@@ -106,15 +108,23 @@
 func callVM(ctx context.Context, address netip.AddrPort, timeout time.Duration, method string, params, result any) error {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	conn, err := (&net.Dialer{Timeout: dialTimeout}).DialContext(ctx, "tcp", address.String())
+	rpc, err := dialVM(ctx, address)
 	if err != nil {
 		return err
 	}
-	rpc := jsonrpc2.NewConn(ctx, jsonrpc2.NewPlainObjectStream(conn), ignoreCalls{})
 	defer rpc.Close()
 	return rpc.Call(ctx, method, params, result)
 }
 
+// dialVM connects to the VM at an address. The connection ends with ctx.
+func dialVM(ctx context.Context, address netip.AddrPort) (*jsonrpc2.Conn, error) {
+	conn, err := (&net.Dialer{Timeout: dialTimeout}).DialContext(ctx, "tcp", address.String())
+	if err != nil {
+		return nil, err
+	}
+	return jsonrpc2.NewConn(ctx, jsonrpc2.NewPlainObjectStream(conn), ignoreCalls{}), nil
+}
+
 // ignoreCalls ignores calls on a connection that this VM opened.
 type ignoreCalls struct{}
 
--- a/internal/fleet/entry/entry_test.go
+++ b/internal/fleet/entry/entry_test.go
@@ -65,6 +65,7 @@
 	v := openVM(f)
 	f.Add("feed.state", []byte(`{"topic":0,"from":3,"unpacks":true}`))
 	f.Add("feed.state", []byte(`{"topic":1,"from":-1,"min_next":9,"wait_ns":1}`))
+	f.Add("feed.next", []byte(`{"topic":1}`))
 	f.Add("gossip.members", []byte(`null`))
 	f.Add("other", []byte(`[`))
 	ctx, cancel := context.WithCancel(context.Background())
--- a/internal/fleet/entry/export_test.go
+++ b/internal/fleet/entry/export_test.go
@@ -22,6 +22,12 @@
 	return cbor.Marshal(&payload{Announcements: []feed.Announcement{a}})
 }
 
+// AddMembers adds VMs to the members of the gossip.
+func (v *VM) AddMembers(list []gossip.Member) { v.gossip.AddMembers(list) }
+
+// ZoneOrder returns the VMs of the own zone in the order of their ranks for a topic.
+func (v *VM) ZoneOrder(t feed.Topic) []gossip.Member { return v.gossip.ZoneOrder(t.String()) }
+
 // Call calls a method as another VM does.
 func (v *VM) Call(ctx context.Context, method string, params []byte) (any, error) {
 	raw := json.RawMessage(params)
--- a/internal/fleet/entry/peerstate.go
+++ b/internal/fleet/entry/peerstate.go
@@ -5,6 +5,7 @@
 	"compress/flate"
 	"context"
 	"encoding/json"
+	"errors"
 	"io"
 	"math/rand/v2"
 	"net/netip"
@@ -24,6 +25,9 @@
 const (
 	// stateMethod is the call that returns a VM's copy of a topic.
 	stateMethod = "feed.state"
+	// nextMethod is the call that returns how far a VM has read a topic. It is answered at
+	// once.
+	nextMethod = "feed.next"
 	// maxPeersAsked is the maximum number of VMs that are asked in turn for one state.
 	maxPeersAsked = 3
 	// maxStateWait bounds how long a VM lets a call wait until it has read far enough.
@@ -61,6 +65,16 @@
 	Unpacks bool `json:"unpacks,omitempty"`
 }
 
+// nextParams are the parameters of a nextMethod call.
+type nextParams struct {
+	Topic feed.Topic `json:"topic"`
+}
+
+// nextResult is the result of a nextMethod call.
+type nextResult struct {
+	Next int64 `json:"next"`
+}
+
 // stateResult is the result of a stateMethod call.
 type stateResult struct {
 	feed.State
@@ -140,11 +154,37 @@
 	return n
 }
 
+// errParams reports a call with parameters that cannot be used.
+var errParams = &jsonrpc2.Error{Code: jsonrpc2.CodeInvalidParams, Message: "malformed parameters"}
+
+// decodeParams decodes the parameters of a call into p.
+func decodeParams(params *json.RawMessage, p any) error {
+	if params == nil || json.Unmarshal(*params, p) != nil {
+		return errParams
+	}
+	return nil
+}
+
+// handleNext returns how far this VM has read a topic.
+func (v *VM) handleNext(params *json.RawMessage) (any, error) {
+	var p nextParams
+	if err := decodeParams(params, &p); err != nil {
+		return nil, err
+	}
+	if !p.Topic.Valid() {
+		return nil, errParams
+	}
+	return nextResult{Next: v.feed.Next(p.Topic)}, nil
+}
+
 // handleState returns this VM's copy of a topic.
 func (v *VM) handleState(ctx context.Context, params *json.RawMessage) (any, error) {
 	var p stateParams
-	if params == nil || json.Unmarshal(*params, &p) != nil || p.Topic < feed.Configuration || p.Topic > feed.Instances {
-		return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeInvalidParams, Message: "malformed parameters"}
+	if err := decodeParams(params, &p); err != nil {
+		return nil, err
+	}
+	if !p.Topic.Valid() {
+		return nil, errParams
 	}
 	if p.Wait > 0 {
 		ctx, cancel := context.WithTimeout(ctx, min(p.Wait, maxStateWait))
@@ -258,19 +298,34 @@
 }
 
 // askState gets the state of a topic from the VM at an address. If the query spreads a
-// record, that VM may wait until it has it.
+// record, that VM may wait until it has it. A frozen VM accepts connections, so it must show
+// that it runs before it is given that time.
 func askState(ctx context.Context, address netip.AddrPort, q feed.Query) (feed.State, error) {
+	if !q.Spread {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, askTimeout)
+		defer cancel()
+	}
+	rpc, err := dialVM(ctx, address)
+	if err != nil {
+		return feed.State{}, err
+	}
+	defer rpc.Close()
 	p := stateParams{Topic: q.Topic, From: q.From, MinNext: q.MinNext, Unpacks: true}
-	timeout := askTimeout
-	switch deadline, ok := ctx.Deadline(); {
-	case ok && q.Spread:
-		timeout = time.Until(deadline)
-		p.Wait = timeout
+	switch {
+	case q.Spread:
+		if err := awaitAnswer(ctx, rpc, q.Topic); err != nil {
+			return feed.State{}, err
+		}
+		p.Wait = maxStateWait
+		if deadline, ok := ctx.Deadline(); ok {
+			p.Wait = time.Until(deadline)
+		}
 	case q.Start:
 		p.Wait = startWait
 	}
 	var result stateResult
-	if err := callVM(ctx, address, timeout, stateMethod, p, &result); err != nil {
+	if err := rpc.Call(ctx, stateMethod, p, &result); err != nil {
 		return feed.State{}, err
 	}
 	if len(result.Packed) > 0 {
@@ -282,3 +337,16 @@
 	}
 	return result.State, nil
 }
+
+// awaitAnswer waits for up to askTimeout until the VM at the other end of a connection
+// answers a call. An error that the VM returns is an answer.
+func awaitAnswer(ctx context.Context, rpc *jsonrpc2.Conn, t feed.Topic) error {
+	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	var result nextResult
+	err := rpc.Call(ctx, nextMethod, nextParams{Topic: t}, &result)
+	if answer := new(jsonrpc2.Error); errors.As(err, &answer) {
+		return nil
+	}
+	return err
+}
--- a/internal/fleet/feed/feed.go
+++ b/internal/fleet/feed/feed.go
@@ -41,6 +41,9 @@
 // without it.
 var topics = [...]Topic{Configuration, Instances}
 
+// Valid reports whether t is one of the topics.
+func (t Topic) Valid() bool { return t >= 0 && int(t) < len(topics) }
+
 // String returns the topic's name in logs.
 func (t Topic) String() string {
 	if t == Configuration {
@@ -254,7 +257,7 @@
 // that this VM is behind and does not carry all missing records, this VM starts to
 // catch up. Announcements are ignored before the topic is loaded.
 func (f *Feed) HandleAnnouncement(vm string, a Announcement) {
-	if a.Topic < 0 || int(a.Topic) >= len(topics) {
+	if !a.Topic.Valid() {
 		return
 	}
 	began := time.Now().Add(-a.Age)
