ingress, gateway: a refusal without an ID on a reused connection proves nothing

What callers would see: 503 'not run, try again' for an order that has run, or an order that runs at two instances.

Cause: an instance that writes an earlier refusal once more, on a connection that is in use again, is recognized by the request ID of the copy. A copy without an ID counted as the response of the new request: a refusal (503 with the not-run header, or 421), after which the request was retried or reported as not run.

Change: on a connection that has carried a request before, a response without an ID is rejected (502 if the request may not be repeated). Instances return the ID in their responses.

Evidence: ingress TestRefusalCopy: of seven cases the three with an ID held before, the four without one failed (ran twice). Gateway TestRefusalCopy failed before (not-run for an order that had run).

--- a/internal/traffic/gateway/forward.go
+++ b/internal/traffic/gateway/forward.go
@@ -23,8 +23,13 @@
 // attempt got an error response, which can be passed on if no permit is available.
 const retryPermitWait = 250 * time.Millisecond
 
-// errWrongRequestID reports a response that carries the ID of another request.
-var errWrongRequestID = merry.Sentinel("gateway: the response belongs to another request")
+var (
+	// errWrongRequestID reports a response that carries the ID of another request.
+	errWrongRequestID = merry.Sentinel("gateway: the response belongs to another request")
+	// errUnidentifiedRefusal reports a refusal without an ID on a reused connection, which
+	// may be a late copy of the refusal of an earlier request.
+	errUnidentifiedRefusal = merry.Sentinel("gateway: the refusal on a reused connection names no request")
+)
 
 // attempt is one attempt to send the request to an instance, with the permit for it.
 type attempt struct {
@@ -193,6 +198,9 @@
 	if id := a.sent.Header(RequestIDHeader); id != "" && id != x.requestID {
 		a.sent.Reject(errWrongRequestID)
 		return a
+	} else if id == "" && a.refused() && a.sent.Reused() {
+		a.sent.Reject(errUnidentifiedRefusal)
+		return a
 	}
 	if d := a.sent.FirstByte(); d > 0 {
 		x.gateway.latency(x.service.Name(), x.route.Name()).Observe(d)
--- a/internal/traffic/ingress/forward.go
+++ b/internal/traffic/ingress/forward.go
@@ -30,6 +30,7 @@
 
 var (
 	errWrongRequest = merry.Sentinel("ingress: the response belongs to another request")
+	errUnidentified = merry.Sentinel("ingress: the response on a reused connection names no request")
 	errUnsigned     = merry.Sentinel("ingress: the response lacks the instance's signature header")
 	errEncoded      = merry.Sentinel("ingress: the response has an unexpected Content-Encoding")
 )
@@ -185,16 +186,21 @@
 	}
 }
 
-// checkResponse rejects a response to another request, and marks the attempt as refused
-// if the response shows that the request did not run. Otherwise it rejects a successful
-// response without a signature and any response with a Content-Encoding, which was
-// encoded on the way, and reads the body of all others.
+// checkResponse rejects a response to another request, and one that may be: on a reused
+// connection, a response that names no request can be a late copy of an earlier one. It
+// marks the attempt as refused if the response shows that the request did not run.
+// Otherwise it rejects a successful response without a signature and any response with a
+// Content-Encoding, which was encoded on the way, and reads the body of all others.
 func (x *exchange) checkResponse(a *attempt) {
 	names := &x.server.config.Headers
 	if x.isStray(a.upstream.Response()) { //nolint:bodyclose // The attempt ends with its body.
 		a.upstream.Reject(errWrongRequest)
 		return
 	}
+	if a.upstream.Reused() && a.upstream.Header(names.RequestID) == "" {
+		a.upstream.Reject(errUnidentified)
+		return
+	}
 	if a.upstream.Header(names.NotRun) != "" || a.upstream.Status() == http.StatusMisdirectedRequest {
 		a.refused = true
 		a.upstream.Discard()
--- a/internal/traffic/transport/attempt.go
+++ b/internal/traffic/transport/attempt.go
@@ -58,7 +58,8 @@
 	method    string
 
 	written   atomic.Bool
-	stray     int // responses to earlier requests that were dropped
+	reused    bool // the connection had carried an earlier request
+	stray     int  // responses to earlier requests that were dropped
 	response  *http.Response
 	body      *responseBody
 	err       error
@@ -83,6 +84,7 @@
 		return a
 	}
 	a.conn = c
+	a.reused = c.previousMethod != ""
 	c.begin(&a.written)
 	// When the context is done, the connection is closed. Setting a deadline in the
 	// past instead would not work, since the next read sets a new deadline.
@@ -362,6 +364,10 @@
 // If not, the request did not run.
 func (a *Attempt) Written() bool { return a.written.Load() }
 
+// Reused reports whether the connection had carried an earlier request. The response may
+// then be a late copy of the response to that one.
+func (a *Attempt) Reused() bool { return a.reused }
+
 // Kind returns the outcome of the attempt as far as it is known. A later failure in
 // reading the response's body changes it.
 func (a *Attempt) Kind() evidence.Kind { return a.kind }
--- a/internal/trial/emulator/emulator.go
+++ b/internal/trial/emulator/emulator.go
@@ -162,6 +162,7 @@
 	f, latency := t.drawRequest(r.URL.Path)
 	if _, refused := f.(refusal); refused {
 		w.Header().Set(gateway.NotRunHeader, "true")
+		w.Header().Set(gateway.RequestIDHeader, r.Header.Get(gateway.RequestIDHeader))
 		http.Error(w, "refused", http.StatusServiceUnavailable)
 		return
 	}
