ingress: a planned stop answers what it has accepted

What callers saw: in a planned stop under load, orders that the VM had accepted and read ended with a closed connection and no answer; a request that came in the stop was closed unanswered as well.

Cause: Shutdown of net/http followed the drain of the listener at once. From then on net/http closes a connection after it has read a request's head, without calling the handler.

Change: the server drains its own connections before it calls net/http's Shutdown.

--- a/internal/traffic/ingress/drain.go
+++ b/internal/traffic/ingress/drain.go
@@ -37,6 +37,9 @@
 	quiet := false
 	for {
 		c, err := l.Listener.Accept()
+		if tcp, ok := c.(*net.TCPConn); ok {
+			c = newCallerConn(tcp)
+		}
 		if err == nil || !l.draining.Load() || !errors.Is(err, os.ErrDeadlineExceeded) {
 			return c, err
 		}
@@ -51,10 +54,14 @@
 	}
 }
 
-// Close implements net.Listener.
+// Close implements net.Listener. Further calls do nothing.
 func (l *drainListener) Close() error {
-	l.closeOnce.Do(func() { close(l.closed) })
-	return l.Listener.Close()
+	var err error
+	l.closeOnce.Do(func() {
+		close(l.closed)
+		err = l.Listener.Close()
+	})
+	return err
 }
 
 // drain makes Accept return the connections that wait and then no more, and waits for
--- a/internal/traffic/ingress/exchange.go
+++ b/internal/traffic/ingress/exchange.go
@@ -71,9 +71,6 @@
 	x := &exchange{server: s, w: w, r: r, rc: http.NewResponseController(w), start: time.Now(), ctx: r.Context(), cancel: func() {}}
 	x.id = r.Header.Get(s.config.Headers.RequestID)
 	x.body = message.NewBody(r, x.rc, bodyIdleTimeout)
-	if s.leaving.Load() {
-		w.Header().Set("Connection", "close")
-	}
 	return x
 }
 
@@ -107,6 +104,9 @@
 	if f := x.setDeadline(); f != nil {
 		return f
 	}
+	if !x.server.endsInTime(x.deadline) {
+		return &failure{status: http.StatusServiceUnavailable, reason: vmStops, retryAfter: stopRetryAfter}
+	}
 	if x.r.ContentLength > x.table.Limits().MaxBodyBytes() {
 		return &failure{status: http.StatusRequestEntityTooLarge, reason: bodyTooLarge}
 	}
--- a/internal/traffic/ingress/failure.go
+++ b/internal/traffic/ingress/failure.go
@@ -34,6 +34,7 @@
 	responseCutOff       reason = "instance's answer broke off"
 	callerStoppedReading reason = "caller stopped reading"
 	deadlineTooClose     reason = "deadline too close"
+	vmStops              reason = "VM stops"
 )
 
 const (
@@ -43,6 +44,9 @@
 	// busyRetryAfter is the Retry-After when no instance could take the request: about
 	// the duration of one request, after which a slot becomes free.
 	busyRetryAfter = 200 * time.Millisecond
+	// stopRetryAfter is the Retry-After of a VM that stops. The caller's next connection
+	// leads to another VM, which can take the request at once.
+	stopRetryAfter = time.Millisecond
 	// defaultTimeout applies when neither the route nor the caller sets a time limit.
 	defaultTimeout = 60 * time.Second
 	// writeTimeout bounds each write to a caller that does not read its response.
@@ -87,11 +91,19 @@
 	h.Set("Content-Type", "text/plain; charset=utf-8")
 	h.Set("Cache-Control", "no-store")
 	h.Set("Content-Length", strconv.Itoa(len(text)))
-	x.extendWriteDeadline()
-	x.w.WriteHeader(f.status)
+	x.writeHead(f.status)
 	x.w.Write([]byte(text)) //nolint:errcheck // A caller that has disconnected cannot be told.
 }
 
+// writeHead sends the head of the response. A VM that leaves closes the connection after it.
+func (x *exchange) writeHead(status int) {
+	if x.server.leaving.Load() {
+		x.w.Header().Set("Connection", "close")
+	}
+	x.extendWriteDeadline()
+	x.w.WriteHeader(status)
+}
+
 // extendWriteDeadline allows the next write to the caller to take writeTimeout.
 func (x *exchange) extendWriteDeadline() {
 	x.rc.SetWriteDeadline(time.Now().Add(writeTimeout)) //nolint:errcheck // Only test recorders do not support it.
--- a/internal/traffic/ingress/ingress.go
+++ b/internal/traffic/ingress/ingress.go
@@ -19,6 +19,8 @@
 
 import (
 	"context"
+	"errors"
+	"math"
 	"net"
 	"net/http"
 	"sync/atomic"
@@ -100,8 +102,9 @@
 	secret    string
 	leaving   atomic.Bool
 	inFlight  atomic.Int64
-	idleConns idleConns
+	conns     callerConns
 	listener  atomic.Pointer[drainListener] // nil before Serve
+	stopBy    atomic.Int64                  // Unix ns; see Shutdown; 0 before it
 }
 
 // New returns a server that does not listen yet; see Serve.
@@ -119,14 +122,14 @@
 	}
 	var protocols http.Protocols
 	protocols.SetHTTP1(true)
-	s.idleConns.timeout = s.idleTimeout
+	s.conns.timeout = s.idleTimeout
 	s.http = &http.Server{
 		Handler:                      s,
 		ReadHeaderTimeout:            routing.DefaultHeadTimeout,
 		MaxHeaderBytes:               routing.DefaultMaxHeadBytes + headSlack,
 		Protocols:                    &protocols,
 		DisableGeneralOptionsHandler: true,
-		ConnState:                    s.idleConns.connStateChanged,
+		ConnState:                    s.conns.connStateChanged,
 	}
 	if log, err := zap.NewStdLogAt(c.Logger, zap.DebugLevel); err == nil {
 		s.http.ErrorLog = log
@@ -154,7 +157,11 @@
 func (s *Server) Serve(l net.Listener) error {
 	d := newDrainListener(l)
 	s.listener.Store(d)
-	return s.http.Serve(message.NewListener(d, s.secret, s.maxHeadBytes))
+	err := s.http.Serve(message.NewListener(d, s.secret, s.maxHeadBytes))
+	if s.stopBy.Load() != 0 && errors.Is(err, net.ErrClosed) {
+		return http.ErrServerClosed // net/http does not know of the planned stop yet
+	}
+	return err
 }
 
 // Leave makes the server close each connection after its next response, so that callers
@@ -164,18 +171,38 @@
 // InFlight returns how many requests are in progress.
 func (s *Server) InFlight() int { return int(s.inFlight.Load()) }
 
-// Shutdown accepts the connections that wait, closes the listener and the idle
-// connections, and waits until the requests in progress end or ctx is done, in which case
-// it returns the context's error.
+// Shutdown accepts the connections that wait, closes the listener, and waits until each
+// connection is closed or ctx is done, in which case it returns the context's error. A
+// connection is closed when no request is in progress on it. A request that arrives
+// meanwhile is served if its deadline is not later than that of ctx, and refused otherwise,
+// since it might be cut off. The Shutdown of net/http would close a connection on which it
+// reads a request without an answer.
 func (s *Server) Shutdown(ctx context.Context) error {
+	stopBy, ok := ctx.Deadline()
+	if !ok {
+		stopBy = time.Unix(0, math.MaxInt64)
+	}
+	s.stopBy.Store(stopBy.UnixNano())
+	s.Leave()
 	if l := s.listener.Load(); l != nil {
 		l.drain()
+		l.Close()
+	}
+	if err := s.conns.drain(ctx); err != nil {
+		return err
 	}
 	err := s.http.Shutdown(ctx)
 	s.transport.Close()
 	return err
 }
 
+// endsInTime reports whether a request with the given deadline ends before a planned stop
+// cuts off the requests in progress.
+func (s *Server) endsInTime(deadline time.Time) bool {
+	stopBy := s.stopBy.Load()
+	return stopBy == 0 || deadline.UnixNano() <= stopBy
+}
+
 // Close closes the listeners and every connection without waiting for requests in
 // progress.
 func (s *Server) Close() error {
--- a/internal/traffic/ingress/relay.go
+++ b/internal/traffic/ingress/relay.go
@@ -83,8 +83,7 @@
 		h.Set("Connection", "close")
 		x.body.Linger()
 	}
-	x.extendWriteDeadline()
-	x.w.WriteHeader(resp.StatusCode)
+	x.writeHead(resp.StatusCode)
 	if _, err := x.w.Write(a.response.body); err != nil {
 		x.result.reason = callerStoppedReading
 	} else if !a.response.complete {
--- a/internal/traffic/ingress/stop_test.go
+++ b/internal/traffic/ingress/stop_test.go
@@ -20,6 +20,12 @@
 // among them those on connections that wait in the system's queue when the listener is
 // closed. The load balancer in front stops opening connections just before.
 func TestPlannedStop(t *testing.T) {
+	for _, callers := range []int{30, 1000} {
+		t.Run(fmt.Sprint(callers, " callers"), func(t *testing.T) { testPlannedStop(t, callers) })
+	}
+}
+
+func testPlannedStop(t *testing.T, callers int) {
 	is := is.New(t)
 	b, targets := newTestServer(t, always(doneResponse))
 	ctx, cancel := context.WithTimeout(context.Background(), testTimeout)
@@ -39,7 +45,7 @@
 	var mu sync.Mutex
 	lost := make(map[string]bool) // requests without a response
 	var group errgroup.Group
-	for caller := range 30 {
+	for caller := range callers {
 		group.Go(func() error {
 			for n := 0; ctx.Err() == nil; {
 				c, ok := dial()
--- a/internal/traffic/message/body.go
+++ b/internal/traffic/message/body.go
@@ -137,10 +137,7 @@
 
 // resetOnClose makes Close of a TCP connection send RST.
 func resetOnClose(c net.Conn) {
-	if f, ok := c.(*framedConn); ok {
-		c = f.Conn
-	}
-	if t, ok := c.(interface{ SetLinger(int) error }); ok {
+	if t, ok := Unwrap(c).(interface{ SetLinger(int) error }); ok {
 		t.SetLinger(0) //nolint:errcheck // A connection that is closed already needs no reset.
 	}
 }
--- a/internal/traffic/message/framing.go
+++ b/internal/traffic/message/framing.go
@@ -108,6 +108,15 @@
 	err           error
 }
 
+// Unwrap returns the connection that the listener below a Listener accepted, or c itself if
+// it comes from elsewhere.
+func Unwrap(c net.Conn) net.Conn {
+	if f, ok := c.(*framedConn); ok {
+		return f.Conn
+	}
+	return c
+}
+
 type framingState int
 
 const (
