feed: one part of an announcement is no proof of completeness

A read with more records than fit a datagram is announced in parts. Each part counted as a proof that the topic ended at its end, so a VM that lost a later part took itself for up to date, and would have handed its state to VMs that start as confirmed just now.

Parts but the last are now marked, and change no proof. TestPartIsNoProof failed before.

--- a/internal/fleet/feed/feed.go
+++ b/internal/fleet/feed/feed.go
@@ -273,11 +273,13 @@
 	behind := a.Next > state.next
 	switch {
 	case !behind:
-		if a.Next == state.next {
+		if a.Next == state.next && !a.Partial {
 			state.recordProof(began)
 		}
 	case a.Complete && a.From <= state.next:
-		state.recordProof(began)
+		if !a.Partial {
+			state.recordProof(began)
+		}
 		from := state.next
 		f.apply(a.Topic, a.Records, a.Next)
 		f.logAdvance("announcement", a.Topic, from, len(a.Records), zap.String("announced_by", vm), zap.Duration("age", a.Age))
--- a/internal/fleet/feed/message.go
+++ b/internal/fleet/feed/message.go
@@ -49,4 +49,7 @@
 	// From and Next. Complete reports whether none of these records is missing.
 	Records  []Record `cbor:"5,keyasint,omitempty"`
 	Complete bool     `cbor:"6,keyasint,omitempty"`
+	// Partial reports that the topic goes on after Next, in further announcements of the
+	// same read.
+	Partial bool `cbor:"7,keyasint,omitempty"`
 }
--- a/internal/fleet/feed/run.go
+++ b/internal/fleet/feed/run.go
@@ -223,9 +223,9 @@
 	part, groups := a, batches(a.Records)
 	for i, group := range groups {
 		part.Records = group
-		part.Next = group[len(group)-1].Offset + 1
+		part.Next, part.Partial = group[len(group)-1].Offset+1, true
 		if i == len(groups)-1 {
-			part.Next = a.Next
+			part.Next, part.Partial = a.Next, false
 		}
 		if len(group) == 1 && group[0].size() > maxAnnounceBytes {
 			part.Records, part.Complete = nil, false
