feed: the transfer of another VM's state ages its proof

The age of a proof in another VM's answer was counted from the arrival of the answer, so that a large state counted as younger by the time of its transfer, up to 1.1 s. It is now counted from the call. TestTransferAges failed before. TestSpread, with its bound on reads, still passes.

--- a/internal/fleet/feed/run.go
+++ b/internal/fleet/feed/run.go
@@ -288,7 +288,6 @@
 			zap.Int64("min_next", q.MinNext), zap.Duration("took", time.Since(asked)), zap.Error(err))
 		return false
 	}
-	received := time.Now()
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if s.Full {
@@ -298,7 +297,8 @@
 	}
 	if s.Age > 0 && s.Next == state.next {
 		// This VM need not read the store to see that it has everything.
-		state.recordProof(received.Add(-s.Age))
+		// The age was taken some time between the call and the answer.
+		state.recordProof(asked.Add(-s.Age))
 	}
 	state.history = history{} // The state lacks replaced records, so the steps have a gap.
 	state.loaded = true
