--- a/internal/fleet/feed/run.go
+++ b/internal/fleet/feed/run.go
@@ -288,6 +288,7 @@
 			zap.Int64("min_next", q.MinNext), zap.Duration("took", time.Since(asked)), zap.Error(err))
 		return false
 	}
+	received := time.Now()
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if s.Full {
@@ -297,8 +298,7 @@
 	}
 	if s.Age > 0 && s.Next == state.next {
 		// This VM need not read the store to see that it has everything.
-		// The age was taken some time between the call and the answer.
-		state.recordProof(asked.Add(-s.Age))
+		state.recordProof(received.Add(-s.Age))
 	}
 	state.history = history{} // The state lacks replaced records, so the steps have a gap.
 	state.loaded = true
