feed: the transfer of another VM's state ages its proof

It is now counted from the call and the time that the other VM waited, which it returns.

TestTransferAges failed before.

--- a/internal/fleet/entry/peerstate.go
+++ b/internal/fleet/entry/peerstate.go
@@ -186,12 +186,14 @@
 	if !p.Topic.Valid() {
 		return nil, errParams
 	}
+	called := time.Now()
 	if p.Wait > 0 {
 		ctx, cancel := context.WithTimeout(ctx, min(p.Wait, maxStateWait))
 		defer cancel()
 		v.feed.AwaitNext(ctx, p.Topic, p.MinNext)
 	}
 	s, ok := v.feed.Since(p.Topic, p.From)
+	s.Waited = time.Since(called)
 	switch {
 	case !ok:
 		return nil, errNotLoaded
--- a/internal/fleet/feed/message.go
+++ b/internal/fleet/feed/message.go
@@ -34,6 +34,9 @@
 	// Age is the age of the VM's proof that the topic ends at Next. 0 means that there is
 	// no proof.
 	Age time.Duration `json:"age_ns,omitempty"`
+	// Waited is the time between the call and the moment at which the VM took the state. The
+	// transfer of the state does not count.
+	Waited time.Duration `json:"waited_ns,omitempty"`
 }
 
 // Announcement tells the other VMs how far a VM has read a topic.
--- a/internal/fleet/feed/proof_test.go
+++ b/internal/fleet/feed/proof_test.go
@@ -12,6 +12,17 @@
 	"chestnutbay.dev/chestnutbay/internal/fleet/feed"
 )
 
+// slowPeers answers queries with a state after a transfer time.
+type slowPeers struct {
+	state    feed.State
+	transfer time.Duration
+}
+
+func (p slowPeers) State(context.Context, feed.Query) (feed.State, error) {
+	time.Sleep(p.transfer)
+	return p.state, nil
+}
+
 // startFollower runs the feed of a VM that has loaded an empty store, which then refuses
 // its calls, and that does not read by itself soon.
 func startFollower(t *testing.T, p feed.Peers) *feed.Feed {
@@ -56,3 +67,19 @@
 		is.Equal(age, time.Duration(0))
 	})
 }
+
+// TestTransferAges guards against a state of another VM that counts as younger than it is,
+// by the time of its transfer.
+func TestTransferAges(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		const proofAge, transfer = 100 * time.Millisecond, 900 * time.Millisecond
+		f := startFollower(t, slowPeers{state: feed.State{Next: 1, Age: proofAge}, transfer: transfer})
+		f.HandleAnnouncement("vm-1", feed.Announcement{Topic: feed.Instances, Next: 1})
+		time.Sleep(transfer)
+		synctest.Wait()
+		is.Equal(f.Next(feed.Instances), int64(1))
+		age, _ := f.Age(feed.Instances)
+		is.True(age >= proofAge+transfer)
+	})
+}
--- a/internal/fleet/feed/run.go
+++ b/internal/fleet/feed/run.go
@@ -288,7 +288,6 @@
 			zap.Int64("min_next", q.MinNext), zap.Duration("took", time.Since(asked)), zap.Error(err))
 		return false
 	}
-	received := time.Now()
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if s.Full {
@@ -298,7 +297,7 @@
 	}
 	if s.Age > 0 && s.Next == state.next {
 		// This VM need not read the store to see that it has everything.
-		state.recordProof(received.Add(-s.Age))
+		state.recordProof(asked.Add(s.Waited - s.Age))
 	}
 	state.history = history{} // The state lacks replaced records, so the steps have a gap.
 	state.loaded = true
--- a/internal/fleet/feed/spread_test.go
+++ b/internal/fleet/feed/spread_test.go
@@ -157,8 +157,10 @@
 		time.Sleep(150 * time.Millisecond)
 		return feed.State{}, feed.ErrUnavailable
 	}
+	called := time.Now()
 	v.feed.AwaitNext(ctx, q.Topic, q.MinNext)
 	s, ok := v.feed.Since(q.Topic, q.From)
+	s.Waited = time.Since(called)
 	if !ok || s.Next < q.MinNext {
 		return feed.State{}, feed.ErrUnavailable
 	}
