entry: further signals do not end a planned stop

Cause: the command line restores the default handling after the first signal, so that a person at a terminal gets out by a second one. That holds for serve and dev; entry runs under a platform, which sends SIGKILL when it wants the process to end.

--- a/internal/command/cli/cli_test.go
+++ b/internal/command/cli/cli_test.go
@@ -1,10 +1,12 @@
 package cli_test
 
 import (
+	"bufio"
 	"bytes"
 	"context"
 	"encoding/json"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -38,7 +40,7 @@
 
 func TestMain(m *testing.M) {
 	if os.Getenv(helperVariable) != "" {
-		os.Exit(cli.Main(cli.Environment{Arguments: os.Args[1:], Run: ignoreFirstSignal, Stdout: os.Stdout, Stderr: os.Stderr}))
+		os.Exit(cli.Main(cli.Environment{Arguments: os.Args[1:], Run: ignoreFirstSignal, Entry: finishRequests, Stdout: os.Stdout, Stderr: os.Stderr}))
 	}
 	goleak.VerifyTestMain(m)
 }
@@ -52,6 +54,16 @@
 	select {}
 }
 
+// finishRequests stops as planned and returns at the end of the standard input, like an
+// entry VM whose requests in progress have ended.
+func finishRequests(ctx context.Context, log io.Writer) error {
+	fmt.Fprintln(log, "started")
+	<-ctx.Done()
+	fmt.Fprintln(log, "stopping")
+	_, err := io.Copy(io.Discard, os.Stdin)
+	return err
+}
+
 const (
 	token    = "operator-token"
 	document = "account: acme\nrate: 5\nburst: 10\n"
@@ -307,6 +319,28 @@
 	is.Equal(command.ProcessState.Sys().(syscall.WaitStatus).Signal(), syscall.SIGTERM)
 }
 
+// Guards against an entry VM that cuts off the requests in progress when the platform sends
+// its signal a second time during a planned stop.
+func TestFurtherSignalsInPlannedStop(t *testing.T) {
+	is := is.New(t)
+	command := exec.Command(os.Args[0], "entry")
+	command.Env = append(os.Environ(), helperVariable+"=1")
+	stdin, err := command.StdinPipe()
+	is.NoErr(err)
+	stdout, err := command.StdoutPipe()
+	is.NoErr(err)
+	is.NoErr(command.Start())
+	lines := bufio.NewScanner(stdout)
+	is.True(lines.Scan()) // started
+	is.NoErr(command.Process.Signal(syscall.SIGTERM))
+	is.True(lines.Scan()) // stopping
+	for _, s := range []os.Signal{syscall.SIGTERM, os.Interrupt, syscall.SIGTERM} {
+		is.NoErr(command.Process.Signal(s))
+	}
+	is.NoErr(stdin.Close())
+	is.NoErr(command.Wait())
+}
+
 // Guards against example commands that do not work: dev publishes its documents at
 // the node that it runs and prints a curl line with a valid key.
 func TestDev(t *testing.T) {
