message: a connection whose body was interrupted carries no further request

Cause: an instance that answers a long upload early ends the attempt, which interrupts the read of the caller's body by a deadline in the past. If the last bytes of the body arrive at the same moment, net/http has begun to read the connection in the background; that read fails and cancels the contexts of all later requests on it. The body counted as read, so the connection was kept.

Change: an interrupted body closes its connection behind the response, even if its end has arrived. The gateway of the first design uses the same body.

--- a/internal/traffic/gateway/exchange.go
+++ b/internal/traffic/gateway/exchange.go
@@ -328,7 +328,7 @@
 	f.Request = x.requestID
 	x.verdict = f.verdict
 	x.reportFailure(f.Status, f.Outcome, f.Reason)
-	if x.body.Unread() {
+	if x.body.MustClose() {
 		x.w.Header().Set("Connection", "close")
 		x.body.Linger()
 	}
--- a/internal/traffic/gateway/relay.go
+++ b/internal/traffic/gateway/relay.go
@@ -101,7 +101,7 @@
 	for _, name := range trailerNames(resp.Trailer) {
 		h.Add("Trailer", name)
 	}
-	if x.body.Unread() {
+	if x.body.MustClose() {
 		// The rest of the request body must not be parsed as another request.
 		h.Set("Connection", "close")
 		if x.body.Untouched() {
--- a/internal/traffic/ingress/failure.go
+++ b/internal/traffic/ingress/failure.go
@@ -79,7 +79,7 @@
 	if f.status == http.StatusUnauthorized {
 		h.Set("Www-Authenticate", "Bearer")
 	}
-	if x.body.Unread() {
+	if x.body.MustClose() {
 		h.Set("Connection", "close")
 		x.body.Linger()
 	}
--- a/internal/traffic/ingress/relay.go
+++ b/internal/traffic/ingress/relay.go
@@ -78,7 +78,7 @@
 	case resp.ContentLength >= 0 && !a.response.complete:
 		h.Set("Content-Length", strconv.FormatInt(resp.ContentLength, 10))
 	}
-	if x.body.Unread() {
+	if x.body.MustClose() {
 		// The unread rest of the body must not be parsed as the next request.
 		h.Set("Connection", "close")
 		x.body.Linger()
--- a/internal/traffic/message/body.go
+++ b/internal/traffic/message/body.go
@@ -104,12 +104,13 @@
 	return !b.started
 }
 
-// Unread reports whether the end of the body has not been read, so that the connection
-// may still carry bytes of it.
-func (b *Body) Unread() bool {
+// MustClose reports whether the connection must be closed behind the response: it may still
+// carry bytes of the body, or Interrupt took effect, which may have cancelled the contexts of
+// later requests even if the end of the body arrived at the same moment.
+func (b *Body) MustClose() bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return !b.complete
+	return !b.complete || b.interrupted
 }
 
 // Linger bounds the time for which net/http reads the rest of an unwanted body after the
