--- a/internal/fleet/feed/feed_test.go
+++ b/internal/fleet/feed/feed_test.go
@@ -610,11 +610,16 @@
 		is := is.New(t)
 		s := &store{}
 		s.put(feed.Instances, "i-1", "ready")
+		var mu sync.Mutex // the loops of both topics announce
 		var announced []feed.Announcement
 		reader := feed.New(feed.Config{
-			Source:      slowSource{client: client{store: s}, delay: 200 * time.Millisecond},
-			Apply:       func(feed.Topic, feed.Record, bool) {},
-			Announce:    func(a feed.Announcement) { announced = append(announced, a) },
+			Source: slowSource{client: client{store: s}, delay: 200 * time.Millisecond},
+			Apply:  func(feed.Topic, feed.Record, bool) {},
+			Announce: func(a feed.Announcement) {
+				mu.Lock()
+				defer mu.Unlock()
+				announced = append(announced, a)
+			},
 			Rank:        func(string) int { return 0 },
 			Significant: func(_ feed.Topic, before, now []byte) bool { return string(before) != string(now) },
 		})
