--- a/internal/fleet/feed/complete_test.go
+++ b/internal/fleet/feed/complete_test.go
@@ -1,7 +1,6 @@
 package feed_test
 
 import (
-	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -9,35 +8,6 @@
 	"chestnutbay.dev/chestnutbay/internal/fleet/feed"
 )
 
-// cutOff cuts VMs off from the store and from all others, or restores all contacts if it
-// names none.
-func (f *fleet) cutOff(vms ...int) {
-	cut := make(map[int]bool)
-	for _, i := range vms {
-		cut[i] = true
-	}
-	f.mu.Lock()
-	f.cut = cut
-	f.mu.Unlock()
-	f.refuse(vms...)
-}
-
-// refuse makes the store refuse the calls of VMs, or of none.
-func (f *fleet) refuse(vms ...int) {
-	f.store.mu.Lock()
-	defer f.store.mu.Unlock()
-	f.store.down = func(vm int) bool { return slices.Contains(vms, vm) }
-}
-
-// forget makes the store delete all records but the newest of each key.
-func (s *store) forget() {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	for t, records := range s.records {
-		s.first[t] = int64(len(records))
-	}
-}
-
 // TestReturnFromCut guards against a VM that keeps an old configuration after a cut, though
 // its offset is the newest, because another VM announced its own read as complete without
 // the record: it had taken the record from a third VM while it read.
--- a/internal/fleet/feed/feed_test.go
+++ b/internal/fleet/feed/feed_test.go
@@ -193,6 +193,42 @@
 	return list
 }
 
+// cutOff cuts VMs off from the store and from all others, or restores all contacts if it
+// names none.
+func (f *fleet) cutOff(vms ...int) {
+	cut := make(map[int]bool)
+	for _, i := range vms {
+		cut[i] = true
+	}
+	f.mu.Lock()
+	f.cut = cut
+	f.mu.Unlock()
+	f.refuse(vms...)
+}
+
+// refuse makes the store refuse the calls of VMs, or of none.
+func (f *fleet) refuse(vms ...int) {
+	f.store.mu.Lock()
+	defer f.store.mu.Unlock()
+	f.store.down = func(vm int) bool { return slices.Contains(vms, vm) }
+}
+
+// refuseAll makes the store refuse all calls.
+func (f *fleet) refuseAll() {
+	f.store.mu.Lock()
+	defer f.store.mu.Unlock()
+	f.store.down = func(int) bool { return true }
+}
+
+// forget makes the store delete all records but the newest of each key.
+func (s *store) forget() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for t, records := range s.records {
+		s.first[t] = int64(len(records))
+	}
+}
+
 // newFleet starts n VMs with an empty store.
 func newFleet(n int) *fleet {
 	f := &fleet{store: &store{}, isolated: make(map[int]bool)}
@@ -438,9 +474,7 @@
 		defer f.stop()
 		f.store.put(feed.Configuration, "config", "1")
 		time.Sleep(3 * time.Second)
-		f.store.mu.Lock()
-		f.store.down = func(vm int) bool { return vm < 3 } // includes the VMs that read first
-		f.store.mu.Unlock()
+		f.refuse(0, 1, 2) // includes the VMs that read first
 		f.store.put(feed.Configuration, "config", "2"+largeValue)
 		time.Sleep(propagationLimit)
 		f.expect(t, "config", "2"+largeValue)
@@ -455,9 +489,7 @@
 		defer f.stop()
 		f.store.put(feed.Configuration, "config", "1")
 		time.Sleep(3 * time.Second)
-		f.store.mu.Lock()
-		f.store.down = func(int) bool { return true }
-		f.store.mu.Unlock()
+		f.refuseAll()
 		f.start()
 		time.Sleep(propagationLimit)
 		f.expect(t, "config", "1")
@@ -511,15 +543,11 @@
 		f.store.put(feed.Instances, "running", "ready")
 		f.store.put(feed.Instances, "stopped", "ready")
 		time.Sleep(2 * time.Second)
-		f.store.mu.Lock()
-		f.store.down = func(int) bool { return true }
-		f.store.mu.Unlock()
+		f.refuseAll()
 		time.Sleep(5 * time.Second)
 		f.store.put(feed.Instances, "running", "")
 		f.store.put(feed.Instances, "stopped", "")
-		f.store.mu.Lock()
-		f.store.down = nil
-		f.store.mu.Unlock()
+		f.refuse()
 		for range 15 {
 			time.Sleep(100 * time.Millisecond)
 			is.Equal(f.vms[0].get("running"), "ready")
@@ -539,13 +567,9 @@
 		defer f.stop()
 		f.store.put(feed.Instances, "i-1", "ready")
 		time.Sleep(2 * time.Second)
-		f.store.mu.Lock()
-		f.store.down = func(int) bool { return true }
-		f.store.mu.Unlock()
+		f.refuseAll()
 		time.Sleep(5 * time.Second)
-		f.store.mu.Lock()
-		f.store.down = nil
-		f.store.mu.Unlock()
+		f.refuse()
 		time.Sleep(1700 * time.Millisecond)
 		f.store.put(feed.Instances, "i-1", "")
 		time.Sleep(propagationLimit - 200*time.Millisecond) // 200 ms are reserved for network and processing delays
@@ -579,9 +603,7 @@
 		defer f.stop()
 		f.store.put(feed.Instances, "i-1", "ready")
 		time.Sleep(3 * time.Second)
-		f.store.mu.Lock()
-		f.store.down = func(vm int) bool { return vm == 0 }
-		f.store.mu.Unlock()
+		f.refuse(0)
 		time.Sleep(3 * time.Second)
 		f.store.put(feed.Instances, "i-1", "")
 		time.Sleep(1500 * time.Millisecond)
