--- a/internal/traffic/ingress/conns.go
+++ b/internal/traffic/ingress/conns.go
@@ -54,9 +54,9 @@
 	return n, err
 }
 
-// closeUnused closes the connection if no byte of a request has arrived since it was last
+// closeIfUnused closes the connection if no byte of a request has arrived since it was last
 // idle, and reports whether it did.
-func (c *callerConn) closeUnused() bool {
+func (c *callerConn) closeIfUnused() bool {
 	if c.received() || !c.state.CompareAndSwap(connUnused, connClosed) {
 		return false
 	}
@@ -128,7 +128,7 @@
 	idle := c.conns[conn] == expired
 	c.mu.Unlock()
 	if idle {
-		closeUnused(conn)
+		closeIfUnused(conn)
 	}
 }
 
@@ -137,7 +137,7 @@
 func (c *callerConns) drain(ctx context.Context) error {
 	ticker := time.NewTicker(drainPoll)
 	defer ticker.Stop()
-	for c.closeUnused() > 0 {
+	for c.closeUnusedConns() > 0 {
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
@@ -147,9 +147,9 @@
 	return nil
 }
 
-// closeUnused closes the connections that are idle, and those that have been accepted long
+// closeUnusedConns closes the connections that are idle, and those that have been accepted long
 // ago and not been used. It returns how many remain.
-func (c *callerConns) closeUnused() int {
+func (c *callerConns) closeUnusedConns() int {
 	c.mu.Lock()
 	var unused []net.Conn
 	for conn, s := range c.conns {
@@ -160,18 +160,18 @@
 	remaining := len(c.conns)
 	c.mu.Unlock()
 	for _, conn := range unused {
-		if closeUnused(conn) {
+		if closeIfUnused(conn) {
 			remaining--
 		}
 	}
 	return remaining
 }
 
-// closeUnused closes a connection unless a request has begun to arrive on it, and reports
+// closeIfUnused closes a connection unless a request has begun to arrive on it, and reports
 // whether it did.
-func closeUnused(conn net.Conn) bool {
+func closeIfUnused(conn net.Conn) bool {
 	if caller, ok := message.Unwrap(conn).(*callerConn); ok {
-		return caller.closeUnused()
+		return caller.closeIfUnused()
 	}
 	conn.Close()
 	return true
