ingress: a busy VM accepts what waits before it closes its listener

What callers saw: connections reset in a planned stop on a busy machine, though the VM was to accept those that waited.

Cause: an Accept whose deadline has passed returns without a look at the queue. The drain shared one deadline of 5 ms over several calls, so on a busy machine it passed between two of them, twice in a row, and the queue counted as empty.

Change: each call gets a deadline of its own, 20 ms, and shows an empty queue only if it began in time; the drain takes up to 1 s, and at most half of what is left of the grace period.

--- a/internal/traffic/ingress/drain.go
+++ b/internal/traffic/ingress/drain.go
@@ -1,6 +1,7 @@
 package ingress
 
 import (
+	"context"
 	"errors"
 	"net"
 	"os"
@@ -11,9 +12,9 @@
 
 const (
 	// drainQuiet is how long no connection may have arrived until the listener is closed.
-	drainQuiet = 5 * time.Millisecond
+	drainQuiet = 20 * time.Millisecond
 	// maxDrain bounds the time for which a listener goes on accepting under load.
-	maxDrain = 250 * time.Millisecond
+	maxDrain = time.Second
 )
 
 // drainListener accepts the connections that wait in the system's queue before it stops
@@ -34,24 +35,37 @@
 
 // Accept implements net.Listener. Once the queue is drained, it waits for Close.
 func (l *drainListener) Accept() (net.Conn, error) {
-	quiet := false
-	for {
+	c, err := l.accept()
+	if tcp, ok := c.(*net.TCPConn); ok {
+		c = newCallerConn(tcp)
+	}
+	return c, err
+}
+
+func (l *drainListener) accept() (net.Conn, error) {
+	if !l.draining.Load() {
 		c, err := l.Listener.Accept()
-		if tcp, ok := c.(*net.TCPConn); ok {
-			c = newCallerConn(tcp)
-		}
 		if err == nil || !l.draining.Load() || !errors.Is(err, os.ErrDeadlineExceeded) {
 			return c, err
 		}
-		if quiet || time.Now().UnixNano() > l.drainEnd.Load() {
-			l.drainOnce.Do(func() { close(l.drained) })
-			<-l.closed
-			return nil, net.ErrClosed
+	}
+	for time.Now().UnixNano() < l.drainEnd.Load() {
+		// An Accept whose deadline has passed does not look at the queue, so that each call
+		// gets a deadline of its own. On a busy machine even that one may pass before.
+		deadline := time.Now().Add(drainQuiet)
+		l.setDeadline(deadline)
+		inTime := time.Until(deadline) > drainQuiet/2
+		c, err := l.Listener.Accept()
+		if err == nil || !errors.Is(err, os.ErrDeadlineExceeded) {
+			return c, err
+		}
+		if inTime {
+			break
 		}
-		// A connection that arrived before the deadline may still wait in the queue.
-		quiet = true
-		l.setDeadline(time.Now().Add(drainQuiet))
 	}
+	l.drainOnce.Do(func() { close(l.drained) })
+	<-l.closed
+	return nil, net.ErrClosed
 }
 
 // Close implements net.Listener. Further calls do nothing.
@@ -65,19 +79,21 @@
 }
 
 // drain makes Accept return the connections that wait and then no more, and waits for
-// that.
-func (l *drainListener) drain() {
-	if l.draining.Swap(true) {
-		return
-	}
+// that, for at most half of the time until ctx is done.
+func (l *drainListener) drain(ctx context.Context) {
 	now := time.Now()
-	l.drainEnd.Store(now.Add(maxDrain).UnixNano())
-	if !l.setDeadline(now) {
+	limit := maxDrain
+	if deadline, ok := ctx.Deadline(); ok {
+		limit = min(limit, deadline.Sub(now)/2)
+	}
+	l.drainEnd.Store(now.Add(limit).UnixNano())
+	if l.draining.Swap(true) || !l.setDeadline(now) {
 		return
 	}
 	select {
 	case <-l.drained:
 	case <-l.closed:
+	case <-ctx.Done():
 	}
 }
 
--- a/internal/traffic/ingress/ingress.go
+++ b/internal/traffic/ingress/ingress.go
@@ -185,7 +185,7 @@
 	s.stopBy.Store(stopBy.UnixNano())
 	s.Leave()
 	if l := s.listener.Load(); l != nil {
-		l.drain()
+		l.drain(ctx)
 		l.Close()
 	}
 	if err := s.conns.drain(ctx); err != nil {
--- a/internal/traffic/ingress/late_test.go
+++ b/internal/traffic/ingress/late_test.go
@@ -29,7 +29,7 @@
 			return group.Wait
 		}
 		c.Close()
-		time.Sleep(time.Millisecond)
+		time.Sleep(50 * time.Millisecond) // longer than the quiet time after which a listener closes
 	}
 }
 
