ingress: TestPlannedStop stops when every caller knows of the close

Traced (trial with the times of closes and sends): each of them was sent on a kept idle connection, 0.03 to 0.3 ms after the server had closed it. Such a request crosses the close and is not passed on; no server of HTTP/1.1 can prevent that, and the users' rule allows it. The check of 0 lost requests, also of those not passed on, is right only once all callers know that their connections end.

Change: the stop begins when each caller has got a response that announces the close, in place of 200 responses of any callers.

--- a/internal/traffic/ingress/stop_test.go
+++ b/internal/traffic/ingress/stop_test.go
@@ -31,6 +31,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), testTimeout)
 	defer cancel()
 	var answered, cutOff atomic.Int64
+	var told atomic.Int64    // callers with a response that announces the close
 	var dialing sync.RWMutex // held for reading while a connection is opened
 	stopped := false         // no further connections are opened
 	dial := func() (net.Conn, bool) {
@@ -46,6 +47,7 @@
 	lost := make(map[string]bool) // requests without a response
 	var group errgroup.Group
 	for caller := range callers {
+		var once sync.Once
 		group.Go(func() error {
 			for n := 0; ctx.Err() == nil; {
 				c, ok := dial()
@@ -69,6 +71,9 @@
 					}
 					answered.Add(1)
 					open = !resp.Close
+					if !open {
+						once.Do(func() { told.Add(1) })
+					}
 				}
 				c.Close()
 			}
@@ -79,7 +84,9 @@
 		time.Sleep(time.Millisecond)
 	}
 	b.server.Leave()
-	for before := answered.Load(); answered.Load() < before+200; {
+	// A request on a connection that was kept may cross its close. Once every caller has got
+	// a response that announces the close, no such connection is left.
+	for told.Load() < int64(callers) {
 		time.Sleep(time.Millisecond)
 	}
 	dialing.Lock()
