ingress: the idle timeout closes a connection with part of a head again

Found in the last read of the change: since a connection on which part of the next head had arrived was left open at its idle timeout, and nothing else bounds that wait. A test of it is owed. Run: TestIdle*, TestLate*, TestReadAhead*, TestPlanned*.

--- a/internal/traffic/ingress/conns.go
+++ b/internal/traffic/ingress/conns.go
@@ -129,7 +129,7 @@
 	idle := c.conns[conn] == expired
 	c.mu.Unlock()
 	if idle {
-		closeIfUnused(conn)
+		conn.Close()
 	}
 }
 
